Start the reactor with the core's decisions

Cause: nothing stands yet. Change: Maven reactor, formatter, linter and null checks; core packages for settings, bundles, keys, membership and rate limits.

--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/config/IniReader.java
@@ -0,0 +1,173 @@
+package org.sesamepin.core.config;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ini4j.Config;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads an INI text against section schemas and gathers every fault with its place, so that a user
+ * mends a file in one go.
+ */
+public final class IniReader {
+    private static final int MAX_SECTION_NAME_CHARS = 200;
+    private static final int MAX_EDIT_DISTANCE = 4;
+
+    private final String mFile;
+    private final Map<String, SectionSchema> mSchemas = new TreeMap<>();
+    private final List<ConfigProblem> mProblems = new ArrayList<>();
+    private final List<IniSection> mSections = new ArrayList<>();
+
+    /** Creates a reader that names {@code file} in its problems. */
+    public IniReader(String file, Collection<SectionSchema> schemas) {
+        mFile = file;
+        for (SectionSchema schema : schemas) {
+            mSchemas.put(schema.type(), schema);
+        }
+    }
+
+    /** Parses {@code text}, which may have at most {@code maxBytes} bytes in UTF-8. */
+    public IniReader read(String text, int maxBytes) {
+        if (text.getBytes(StandardCharsets.UTF_8).length > maxBytes) {
+            problem("", "", "", "the file may have at most " + maxBytes + " bytes");
+            return this;
+        }
+        Ini ini = new Ini();
+        Config config = new Config();
+        config.setEscape(false);
+        config.setMultiSection(true);
+        config.setMultiOption(true);
+        config.setEmptyOption(true);
+        config.setGlobalSection(false);
+        ini.setConfig(config);
+        try {
+            ini.load(new StringReader(text));
+        } catch (IOException | RuntimeException e) {
+            problem("", "", "", "not an INI file: " + e.getMessage());
+            return this;
+        }
+        for (String name : ini.keySet()) {
+            List<Profile.Section> all = ini.getAll(name);
+            if (all.size() > 1) {
+                problem(name, "", "", "the section stands " + all.size() + " times; merge them");
+            }
+            readSection(name, all.get(all.size() - 1));
+        }
+        return this;
+    }
+
+    private void readSection(String fullName, Profile.Section section) {
+        if (fullName.length() > MAX_SECTION_NAME_CHARS) {
+            problem(fullName.substring(0, 40), "", "", "the section's name is too long");
+            return;
+        }
+        int blank = fullName.indexOf(' ');
+        String type = blank < 0 ? fullName : fullName.substring(0, blank);
+        String name = blank < 0 ? "" : fullName.substring(blank + 1).trim();
+        SectionSchema schema = mSchemas.get(type);
+        if (schema == null) {
+            problem(fullName, "", "", "unknown section" + nearest(type, mSchemas.keySet()));
+            return;
+        }
+        if (schema.named() == name.isEmpty()) {
+            String form = schema.named() ? "[" + type + " NAME]" : "[" + type + "]";
+            problem(fullName, "", "", "the section is written " + form);
+            return;
+        }
+        Map<String, String> values = new TreeMap<>();
+        for (String key : section.keySet()) {
+            List<String> all = section.getAll(key);
+            String value = all.get(all.size() - 1);
+            if (all.size() > 1) {
+                problem(fullName, key, String.valueOf(value), "the key stands more than once");
+            }
+            values.put(key, value == null ? "" : value.trim());
+        }
+        checkKeys(fullName, schema, values);
+        mSections.add(new IniSection(this, fullName, name, schema, values));
+    }
+
+    private void checkKeys(String fullName, SectionSchema schema, Map<String, String> values) {
+        if (schema.freeKeys()) {
+            return;
+        }
+        List<String> known =
+                schema.properties().stream().<String>map(PropertyDescriptor::name).toList();
+        for (Map.Entry<String, String> entry : values.entrySet()) {
+            if (!known.contains(entry.getKey())) {
+                problem(
+                        fullName,
+                        entry.getKey(),
+                        entry.getValue(),
+                        "unknown key" + nearest(entry.getKey(), known));
+            }
+        }
+    }
+
+    /** Returns the sections of {@code type} in the order of the file. */
+    public List<IniSection> sections(String type) {
+        return mSections.stream().filter(s -> s.schema().type().equals(type)).toList();
+    }
+
+    /** Returns the only section of {@code type}; an empty one when the file has none. */
+    public IniSection section(String type) {
+        for (IniSection section : mSections) {
+            if (section.schema().type().equals(type)) {
+                return section;
+            }
+        }
+        SectionSchema schema = mSchemas.get(type);
+        if (schema == null) {
+            throw new IllegalArgumentException("no schema for section " + type);
+        }
+        return new IniSection(this, type, "", schema, Map.of());
+    }
+
+    /** Records a fault; all are reported together by {@link #throwProblems}. */
+    public void problem(String section, String key, String value, String expected) {
+        mProblems.add(new ConfigProblem(mFile, section, key, value, expected));
+    }
+
+    /** Throws everything that was found; returns when the file is in order. */
+    public void throwProblems() throws ConfigException {
+        if (!mProblems.isEmpty()) {
+            throw new ConfigException(mFile, mProblems);
+        }
+    }
+
+    private static String nearest(String word, Collection<String> known) {
+        @Nullable String best =
+                known.stream()
+                        .filter(k -> editDistance(word, k) <= MAX_EDIT_DISTANCE)
+                        .min(Comparator.comparingInt(k -> editDistance(word, k)))
+                        .orElse(null);
+        return best == null ? "" : "; the nearest known name is '" + best + "'";
+    }
+
+    private static int editDistance(String a, String b) {
+        int[] previous = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            previous[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int[] current = new int[b.length() + 1];
+            current[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int change = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
+                int keepOrChange = previous[j - 1] + change;
+                current[j] = Math.min(keepOrChange, 1 + Math.min(previous[j], current[j - 1]));
+            }
+            previous = current;
+        }
+        return previous[b.length()];
+    }
+}
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/config/IniSection.java
@@ -0,0 +1,68 @@
+package org.sesamepin.core.config;
+
+import java.util.Map;
+
+/** One section of an INI file, read through property descriptors. */
+public final class IniSection {
+    private final IniReader mReader;
+    private final String mFullName;
+    private final String mName;
+    private final SectionSchema mSchema;
+    private final Map<String, String> mValues;
+
+    IniSection(
+            IniReader reader,
+            String fullName,
+            String name,
+            SectionSchema schema,
+            Map<String, String> values) {
+        mReader = reader;
+        mFullName = fullName;
+        mName = name;
+        mSchema = schema;
+        mValues = Map.copyOf(values);
+    }
+
+    /** Returns the name behind the section's type; empty for an unnamed section. */
+    public String name() {
+        return mName;
+    }
+
+    SectionSchema schema() {
+        return mSchema;
+    }
+
+    /** Returns the raw keys and values, for a section of free keys. */
+    public Map<String, String> values() {
+        return mValues;
+    }
+
+    public boolean has(PropertyDescriptor<?> descriptor) {
+        return mValues.containsKey(descriptor.name());
+    }
+
+    /**
+     * Returns the value of a property. A missing required value or a wrong one is recorded at the
+     * reader, and the default is returned so that reading goes on to the next fault.
+     */
+    public <T> T get(PropertyDescriptor<T> descriptor) {
+        String text = mValues.get(descriptor.name());
+        if (text == null) {
+            if (descriptor.isRequired()) {
+                problem(descriptor, "", "missing; give " + descriptor.allowed());
+            }
+            return descriptor.defaultValue();
+        }
+        try {
+            return descriptor.parse(text);
+        } catch (IllegalArgumentException e) {
+            problem(descriptor, text, "allowed is " + descriptor.allowed());
+            return descriptor.defaultValue();
+        }
+    }
+
+    /** Records a fault of this section's property. */
+    public void problem(PropertyDescriptor<?> descriptor, String value, String expected) {
+        mReader.problem(mFullName, descriptor.name(), value, expected);
+    }
+}
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/lifecycle/package-info.java
@@ -0,0 +1,5 @@
+/** Ownership and clean-up of resources. */
+@NullMarked
+package org.sesamepin.core.lifecycle;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/Delegations.java
@@ -0,0 +1,141 @@
+package org.sesamepin.core.limit;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.membership.FleetTiming;
+import org.sesamepin.core.membership.Rendezvous;
+
+/**
+ * The shares that hosts have delegated to this host as a coordinator.
+ *
+ * <p>Each customer has one coordinator among the live hosts, found by rendezvous hashing over a
+ * view of them. A host delegates only to a coordinator that has the same view, for a short time
+ * that is counted here from before the question was sent. When the view changed lately, a host may
+ * still have delegated a customer to its former coordinator: its share counts for that customer
+ * only after that delegation and its blocks have run out.
+ *
+ * <p>Immutable snapshots are swapped by the writer; readers on the path of a request take no lock.
+ */
+public final class Delegations {
+    /** What one host delegated, under which view, and since when without a break. */
+    private record Held(
+            double fraction,
+            long raisedAt,
+            double baseFraction,
+            long since,
+            long until,
+            List<String> view,
+            long viewNumber,
+            List<String> previousView,
+            long formerEndsAt) {
+        double amountSince(long start) {
+            if (start - raisedAt >= 0) {
+                return fraction;
+            }
+            return start - since >= 0 ? baseFraction : 0;
+        }
+    }
+
+    private final String mSelf;
+    private final FleetTiming mTiming;
+    private volatile Map<String, Held> mHeld = Map.of();
+
+    /** Creates the table of the coordinator {@code self}, which holds nothing yet. */
+    public Delegations(String self, FleetTiming timing) {
+        mSelf = self;
+        mTiming = timing;
+    }
+
+    /**
+     * Notes the answer of {@code host} to a question that was sent at {@code askedAt} under {@code
+     * view}. An answer that delegates nothing leaves the former delegation to run out.
+     */
+    public synchronized void received(
+            String host, long askedAt, List<String> view, Delegator.Answer answer, long now) {
+        if (answer.forNanos() <= 0) {
+            return;
+        }
+        Held before = mHeld.get(host);
+        boolean unbroken = before != null && before.until() - now >= 0;
+        long until = askedAt + answer.forNanos();
+        Held held =
+                before != null && unbroken
+                        ? renewed(before, until, view, answer, now)
+                        : fresh(until, view, answer, now);
+        Map<String, Held> next = new HashMap<>(mHeld);
+        next.put(host, held);
+        mHeld = Map.copyOf(next);
+    }
+
+    private Held fresh(long until, List<String> view, Delegator.Answer answer, long now) {
+        return new Held(
+                answer.fraction(),
+                now,
+                answer.fraction(),
+                now,
+                until,
+                view,
+                answer.viewNumber(),
+                answer.previousView(),
+                formerEnd(answer, now));
+    }
+
+    private Held renewed(
+            Held before, long until, List<String> view, Delegator.Answer answer, long now) {
+        boolean sameView = before.viewNumber() == answer.viewNumber();
+        boolean raised = answer.fraction() > before.fraction();
+        // A customer that moved here under the former view was covered only from its end on.
+        long since = sameView ? before.since() : later(before.since(), before.formerEndsAt());
+        double base =
+                raised ? before.fraction() : Math.min(before.baseFraction(), answer.fraction());
+        return new Held(
+                answer.fraction(),
+                raised ? now : later(before.raisedAt(), since),
+                base,
+                since,
+                until,
+                view,
+                answer.viewNumber(),
+                answer.previousView(),
+                sameView ? before.formerEndsAt() : formerEnd(answer, now));
+    }
+
+    private long formerEnd(Delegator.Answer answer, long now) {
+        return now - answer.viewAgeNanos() + mTiming.delegationEndNanos();
+    }
+
+    /**
+     * Returns the part of the rate of {@code customer} that has been held throughout [{@code
+     * since}, {@code now}].
+     */
+    public double heldThroughout(String customer, long since, long now) {
+        Map<List<String>, Boolean> owns = new HashMap<>();
+        double sum = 0;
+        for (Held held : mHeld.values()) {
+            if (held.until() - now < 0 || !owns(owns, customer, held.view())) {
+                continue;
+            }
+            boolean kept =
+                    !held.previousView().isEmpty() && owns(owns, customer, held.previousView());
+            boolean formerEnded = since - held.formerEndsAt() >= 0;
+            if (kept || formerEnded) {
+                sum += held.amountSince(since);
+            }
+        }
+        return sum;
+    }
+
+    private boolean owns(Map<List<String>, Boolean> known, String customer, List<String> view) {
+        return known.computeIfAbsent(view, v -> mSelf.equals(ownerOrNull(customer, v)));
+    }
+
+    private static @Nullable String ownerOrNull(String customer, List<String> view) {
+        return Rendezvous.owner(customer, view);
+    }
+
+    private static long later(long a, long b) {
+        return b - a > 0 ? b : a;
+    }
+}
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/package-info.java
@@ -0,0 +1,5 @@
+/** Rates and bursts that hold exactly across all hosts. */
+@NullMarked
+package org.sesamepin.core.limit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
@@ -0,0 +1,35 @@
+package org.sesamepin.core.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import net.openhft.hashing.LongHashFunction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Rendezvous (highest random weight) hashing: every host computes the same owner for a key from the
+ * same set of hosts, and a host that goes away moves only the keys it owned.
+ */
+public final class Rendezvous {
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private Rendezvous() {}
+
+    /** Returns the owner of {@code key} among {@code hosts}, or null when there are none. */
+    public static @Nullable String owner(String key, Collection<String> hosts) {
+        String best = null;
+        long bestScore = 0;
+        for (String host : hosts) {
+            long score = score(key, host);
+            boolean higher = best == null || Long.compareUnsigned(score, bestScore) > 0;
+            if (higher || (score == bestScore && host.compareTo(best) < 0)) {
+                best = host;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private static long score(String key, String host) {
+        return HASH.hashBytes((host + '\n' + key).getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of a target for a request. */
+@NullMarked
+package org.sesamepin.core.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -0,0 +1,212 @@
+// Messages between the nodes of one fleet. Each frame on a peer connection is one PeerFrame in
+// Thrift's compact protocol behind a 4-byte length. Regenerate with:
+//   thrift --gen java:generated_annotations=suppress -out sesamepin-node/src/main/java peer.thrift
+namespace java org.sesamepin.node.peer.generated
+
+// How loaded one target is, as its owner sees it.
+struct TargetLoad {
+  1: string target
+  2: i32 freeSlots
+  3: i32 batchRunning
+  4: i32 queued
+  5: bool failing
+}
+
+// What a host says of itself with each heartbeat and each reply to one.
+struct HostState {
+  1: string host
+  2: i64 incarnation
+  3: i64 epoch
+  4: i64 releasedEpoch
+  5: bool settled
+  6: i64 bundleVersion
+  7: i64 headAgeMs
+  8: bool draining
+  9: list<string> view
+  10: list<TargetLoad> targets
+  11: map<string, i32> pendingItems
+  12: string callerAddress
+}
+
+struct Heartbeat {
+  1: HostState sender
+}
+
+struct HeartbeatReply {
+  1: HostState sender
+  2: bool consent
+  4: i64 delegatedForMs
+  5: double fraction
+  6: i64 viewAgeMs
+  7: list<string> previousView
+  8: i64 viewNumber
+}
+
+struct ClosedBlock {
+  1: i64 blockId
+  2: double unused
+}
+
+struct TokenRequest {
+  1: string customer
+  2: double wanted
+  3: list<ClosedBlock> closed
+  4: string host
+}
+
+struct TokenReply {
+  1: bool coordinator
+  2: i64 blockId
+  3: double granted
+  4: i64 validForMs
+  5: i64 retryAfterMs
+}
+
+struct SlotRequest {
+  1: string target
+  2: string customer
+  3: string requestId
+  4: i64 cost
+  5: i64 waitMs
+  6: string host
+}
+
+struct SlotReply {
+  1: bool granted
+  2: i64 slotId
+  3: string reason
+}
+
+struct SlotRelease {
+  1: string target
+  2: i64 slotId
+  3: bool targetFailed
+}
+
+struct SlotRenewal {
+  1: string target
+  2: list<i64> slotIds
+}
+
+struct BatchItem {
+  1: string jobId
+  2: i64 fence
+  3: i32 index
+  4: string customer
+  5: string path
+  6: binary body
+  7: string owner
+  8: i32 attempt
+}
+
+struct PullItems {
+  1: string host
+  2: string model
+  3: i32 max
+}
+
+struct PullReply {
+  1: list<BatchItem> items
+}
+
+enum OutcomeKind {
+  COMPLETED = 1
+  INVALID = 2
+  PREEMPTED = 3
+  TARGET_FAILED = 4
+  ABORTED = 5
+}
+
+struct ItemOutcome {
+  1: string jobId
+  2: i64 fence
+  3: i32 index
+  4: OutcomeKind kind
+  5: i32 status
+  6: binary body
+  7: string target
+}
+
+struct ItemOutcomes {
+  1: list<ItemOutcome> outcomes
+}
+
+// Items that a host still holds; the job's owner answers with those it should drop.
+struct ItemRenewal {
+  1: string host
+  2: string jobId
+  3: i64 fence
+  4: list<i32> indexes
+}
+
+struct ItemRenewalReply {
+  1: bool known
+}
+
+struct JobNotice {
+  1: string jobId
+}
+
+struct AbortJob {
+  1: string jobId
+}
+
+struct JobQuery {
+  1: string jobId
+}
+
+struct JobReply {
+  1: bool owner
+  2: string json
+}
+
+struct FetchShared {
+  1: i64 bundleVersion
+  2: i64 epoch
+}
+
+struct SharedReply {
+  1: optional string signedBundle
+  2: optional string assignment
+}
+
+struct Done {
+}
+
+struct Failure {
+  1: string step
+  2: string message
+}
+
+union PeerRequest {
+  1: Heartbeat heartbeat
+  2: TokenRequest tokens
+  3: SlotRequest slot
+  4: SlotRelease slotRelease
+  5: SlotRenewal slotRenewal
+  6: PullItems pull
+  7: ItemOutcomes outcomes
+  8: ItemRenewal itemRenewal
+  9: JobNotice jobNotice
+  10: AbortJob abortJob
+  11: JobQuery jobQuery
+  12: FetchShared fetchShared
+}
+
+union PeerReply {
+  1: HeartbeatReply heartbeat
+  2: TokenReply tokens
+  3: SlotReply slot
+  4: Done done
+  5: PullReply pull
+  6: ItemRenewalReply itemRenewal
+  7: JobReply job
+  8: SharedReply shared
+  9: Failure failure
+}
+
+struct PeerFrame {
+  1: i64 callId
+  2: optional PeerRequest request
+  3: optional PeerReply reply
+}
