Add stand-ins, slot and batch decisions, peer frames and platform clients

Cause: the thin path needs something to talk to. Change: stand-ins of store, host list, engine and service with scripted faults; slot ledger, fair queue, job tracker and result segments in core; etcd client, peer frames in Thrift's compact protocol, node settings.

--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/batch/ResultSegment.java
@@ -0,0 +1,75 @@
+package org.sesamepin.core.batch;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+
+/** Codec of result segments: JSON lines as callers download them, compressed. */
+public final class ResultSegment {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String ID_PREFIX = "item-";
+
+    private ResultSegment() {}
+
+    /** Returns the line of one result, with its line end. */
+    public static String line(ItemResult result) {
+        ObjectNode line = JSON.createObjectNode();
+        line.put("id", ID_PREFIX + result.index());
+        line.put("custom_id", result.customId());
+        if (result.status() == 0) {
+            line.putNull("response");
+        } else {
+            ObjectNode response = line.putObject("response");
+            response.put("status_code", result.status());
+            response.set("body", result.body());
+        }
+        if (result.error() == null) {
+            line.putNull("error");
+        } else {
+            line.putObject("error").put("message", result.error());
+        }
+        return line + "\n";
+    }
+
+    /** Encodes results as a store value. */
+    public static byte[] encode(List<ItemResult> results) {
+        StringBuilder text = new StringBuilder();
+        results.forEach(r -> text.append(line(r)));
+        return Compression.compress(text.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Decodes a store value. */
+    public static List<ItemResult> decode(byte[] value) throws SesamepinException {
+        String text = new String(Compression.decompress(value), StandardCharsets.UTF_8);
+        List<ItemResult> results = new ArrayList<>();
+        for (String line : text.split("\n", -1)) {
+            if (!line.isEmpty()) {
+                results.add(parse(line));
+            }
+        }
+        return results;
+    }
+
+    private static ItemResult parse(String text) throws SesamepinException {
+        try {
+            JsonNode line = JSON.readTree(text);
+            int index = Integer.parseInt(line.path("id").asText().substring(ID_PREFIX.length()));
+            JsonNode response = line.path("response");
+            JsonNode error = line.path("error").path("message");
+            return new ItemResult(
+                    index,
+                    line.path("custom_id").asText(),
+                    response.path("status_code").asInt(),
+                    response.get("body"),
+                    error.isMissingNode() ? null : error.asText());
+        } catch (JsonProcessingException | RuntimeException e) {
+            throw new SesamepinException(Step.STORE_READ, "store", "damaged result segment");
+        }
+    }
+}
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/slot/FairQueue.java
@@ -0,0 +1,69 @@
+package org.sesamepin.core.slot;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Start-time fair queue: each flow gets its part of the service by weight, however many entries the
+ * other flows have waiting. Not thread-safe.
+ *
+ * @param <T> what is queued
+ */
+public final class FairQueue<T> {
+    private record Tagged<T>(double start, long order, String flow, T entry) {}
+
+    private final PriorityQueue<Tagged<T>> mEntries =
+            new PriorityQueue<>(
+                    Comparator.<Tagged<T>>comparingDouble(Tagged::start)
+                            .thenComparingLong(Tagged::order));
+    private final Map<String, Double> mFinish = new HashMap<>();
+    private double mVirtualTime;
+    private long mOrder;
+
+    /** Queues an entry of {@code flow} that costs {@code cost} units of service. */
+    public void add(String flow, double cost, double weight, T entry) {
+        double start = Math.max(mVirtualTime, mFinish.getOrDefault(flow, 0.0));
+        mFinish.put(flow, start + cost / weight);
+        mEntries.add(new Tagged<>(start, mOrder++, flow, entry));
+    }
+
+    /** Removes and returns the next entry, or null when none waits. */
+    public @Nullable T poll() {
+        Tagged<T> next = mEntries.poll();
+        if (next == null) {
+            mFinish.clear();
+            mVirtualTime = 0;
+            return null;
+        }
+        mVirtualTime = next.start();
+        return next.entry();
+    }
+
+    /** Removes and returns all entries for which {@code condition} holds. */
+    public List<T> removeIf(Predicate<T> condition) {
+        List<T> removed = new ArrayList<>();
+        mEntries.removeIf(
+                tagged -> {
+                    boolean match = condition.test(tagged.entry());
+                    if (match) {
+                        removed.add(tagged.entry());
+                    }
+                    return match;
+                });
+        return removed;
+    }
+
+    public int size() {
+        return mEntries.size();
+    }
+
+    public boolean isEmpty() {
+        return mEntries.isEmpty();
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/admin/package-info.java
@@ -0,0 +1,5 @@
+/** Health, metrics and status for operators. */
+@NullMarked
+package org.sesamepin.node.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/package-info.java
@@ -0,0 +1,5 @@
+/** What all HTTP handlers share. */
+@NullMarked
+package org.sesamepin.node.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/package-info.java
@@ -0,0 +1,5 @@
+/** Online requests from callers. */
+@NullMarked
+package org.sesamepin.node.online;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerServer.java
@@ -0,0 +1,103 @@
+package org.sesamepin.node.peer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TException;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.node.peer.generated.Failure;
+import org.sesamepin.node.peer.generated.PeerFrame;
+import org.sesamepin.node.peer.generated.PeerReply;
+import org.sesamepin.node.peer.generated.PeerRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Listens for other nodes and passes their calls to the handlers. */
+public final class PeerServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerServer.class);
+    private static final int IDLE_SECONDS = 30;
+    private static final int CLOSE_TIMEOUT_MS = 1_000;
+
+    private final NetServer mServer;
+    private final InetSocketAddress mAddress;
+    private final Map<PeerRequest._Fields, PeerHandler> mHandlers =
+            new EnumMap<>(PeerRequest._Fields.class);
+
+    /** Creates a server that will listen on {@code address}. */
+    public PeerServer(Vertx vertx, InetSocketAddress address) {
+        mAddress = address;
+        NetServerOptions options =
+                new NetServerOptions().setTcpNoDelay(true).setIdleTimeout(IDLE_SECONDS);
+        mServer = vertx.createNetServer(options).connectHandler(this::serve);
+    }
+
+    /** Registers the handler of one kind of call; before {@link #start}. */
+    public void on(PeerRequest._Fields kind, PeerHandler handler) {
+        mHandlers.put(kind, handler);
+    }
+
+    /** Starts listening. */
+    public Future<Void> start() {
+        return mServer.listen(mAddress.getPort(), mAddress.getHostString()).mapEmpty();
+    }
+
+    private void serve(NetSocket socket) {
+        Runnable broken = () -> socket.close();
+        socket.handler(FrameCodec.parser(frame -> answer(socket, frame), broken));
+        socket.exceptionHandler(e -> socket.close());
+    }
+
+    private void answer(NetSocket socket, PeerFrame frame) {
+        PeerRequest request = frame.getRequest();
+        PeerHandler handler = request == null ? null : mHandlers.get(request.getSetField());
+        Future<PeerReply> reply =
+                handler == null
+                        ? Future.failedFuture(new TException("no such call"))
+                        : callSafely(handler, frame.getRequest());
+        reply.onComplete(
+                done -> {
+                    PeerReply answer = done.succeeded() ? done.result() : failure(done.cause());
+                    send(socket, frame.getCallId(), answer);
+                });
+    }
+
+    private static Future<PeerReply> callSafely(PeerHandler handler, PeerRequest request) {
+        try {
+            return handler.handle(request);
+        } catch (RuntimeException e) {
+            LOG.error("step=peer-call call={}", request.getSetField(), e);
+            return Future.failedFuture(e);
+        }
+    }
+
+    private static PeerReply failure(Throwable e) {
+        Step step = e instanceof SesamepinException known ? known.step() : Step.PEER_CALL;
+        return PeerReply.failure(new Failure(step.label(), String.valueOf(e.getMessage())));
+    }
+
+    private static void send(NetSocket socket, long callId, PeerReply reply) {
+        PeerFrame frame = new PeerFrame(callId);
+        frame.setReply(reply);
+        try {
+            socket.write(FrameCodec.encode(frame));
+        } catch (TException e) {
+            LOG.error("step=peer-call message=reply-not-encoded", e);
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        mServer.close()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/Generation.java
@@ -0,0 +1,116 @@
+package org.sesamepin.standin.engine;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request inside the stand-in engine. Its words are computed from the request, so a test can
+ * tell a whole answer from a truncated or a crossed one.
+ */
+final class Generation {
+    private final String mRequestId;
+    private final String mModel;
+    private final String mStamp;
+    private final int mTokens;
+    private final boolean mStream;
+    private final boolean mChat;
+    private final long mKvTokens;
+    private final int mFromOffset;
+    private int mMade;
+    private @Nullable HttpServerResponse mResponse;
+
+    Generation(
+            String requestId,
+            String model,
+            String prompt,
+            int tokens,
+            boolean stream,
+            boolean chat,
+            int fromOffset) {
+        mRequestId = requestId;
+        mModel = model;
+        mStamp = Integer.toHexString(prompt.hashCode());
+        mTokens = tokens;
+        mStream = stream;
+        mChat = chat;
+        mKvTokens = prompt.length() / 4 + tokens;
+        mFromOffset = fromOffset;
+        mMade = fromOffset;
+    }
+
+    String requestId() {
+        return mRequestId;
+    }
+
+    long kvTokens() {
+        return mKvTokens;
+    }
+
+    boolean stream() {
+        return mStream;
+    }
+
+    int made() {
+        return mMade;
+    }
+
+    void attach(HttpServerResponse response) {
+        mResponse = response;
+    }
+
+    @Nullable HttpServerResponse response() {
+        return mResponse;
+    }
+
+    /** Makes the next token; returns whether it was the last one. */
+    boolean step() {
+        mMade++;
+        return mMade >= mTokens;
+    }
+
+    /** Returns the server-sent event of the token made last. */
+    Buffer event() {
+        int index = mMade - 1;
+        JsonObject chunk = envelope(mChat ? "chat.completion.chunk" : "text_completion");
+        boolean last = mMade >= mTokens;
+        chunk.put("choices", new JsonArray().add(choice(word(index), true, last)));
+        return Buffer.buffer("id: " + mMade + "\ndata: " + chunk.encode() + "\n\n");
+    }
+
+    /** Returns the whole answer. */
+    JsonObject whole() {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < mTokens; i++) {
+            text.append(word(i));
+        }
+        return envelope(mChat ? "chat.completion" : "text_completion")
+                .put("choices", new JsonArray().add(choice(text.toString(), false, true)))
+                .put("usage", new JsonObject().put("completion_tokens", mTokens));
+    }
+
+    private JsonObject envelope(String object) {
+        return new JsonObject().put("id", mRequestId).put("object", object).put("model", mModel);
+    }
+
+    private JsonObject choice(String text, boolean delta, boolean last) {
+        JsonObject choice = new JsonObject().put("index", 0);
+        if (mChat) {
+            JsonObject message = new JsonObject().put("role", "assistant").put("content", text);
+            choice.put(delta ? "delta" : "message", message);
+        } else {
+            choice.put("text", text);
+        }
+        return choice.put("finish_reason", last ? "stop" : null);
+    }
+
+    private String word(int index) {
+        return "w" + index + "-" + mStamp + (index == mTokens - 1 ? "." : " ");
+    }
+
+    boolean resumed() {
+        return mFromOffset > 0;
+    }
+}
--- /dev/null
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a model engine with continuous batching. */
+@NullMarked
+package org.sesamepin.standin.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/hostlist/HostListStandIn.java
@@ -0,0 +1,60 @@
+package org.sesamepin.standin.hostlist;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sesamepin.standin.StandInServer;
+
+/**
+ * Stand-in of the platform's list of live and leaving hosts. {@code GET /hosts} answers with the
+ * list as it was some time ago; {@code PUT /hosts/NAME?state=live|leaving} and {@code DELETE
+ * /hosts/NAME} change it.
+ */
+public final class HostListStandIn extends StandInServer {
+    private final Map<String, String> mShown = new TreeMap<>();
+    private final long mLagMs;
+
+    /** Creates an empty list whose answers lag by {@code lagMs} milliseconds. */
+    public HostListStandIn(Vertx vertx, InetSocketAddress address, long lagMs) {
+        super(vertx, address);
+        mLagMs = lagMs;
+    }
+
+    @Override
+    protected void handle(HttpServerRequest request) {
+        String path = request.path();
+        if (path.equals("/hosts")) {
+            answer(request, 200, list());
+            return;
+        }
+        String name = path.substring(path.lastIndexOf('/') + 1);
+        boolean delete = request.method().equals(HttpMethod.DELETE);
+        String state = request.getParam("state", "live");
+        Runnable change = () -> change(name, delete ? "" : state);
+        if (mLagMs == 0) {
+            change.run();
+        } else {
+            mVertx.setTimer(mLagMs, t -> change.run());
+        }
+        answer(request, 200, new JsonObject());
+    }
+
+    private synchronized void change(String name, String state) {
+        if (state.isEmpty()) {
+            mShown.remove(name);
+        } else {
+            mShown.put(name, state);
+        }
+    }
+
+    private synchronized JsonObject list() {
+        JsonArray hosts = new JsonArray();
+        mShown.forEach((n, s) -> hosts.add(new JsonObject().put("host", n).put("state", s)));
+        return new JsonObject().put("hosts", hosts);
+    }
+}
--- /dev/null
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/service/ServiceStandIn.java
@@ -0,0 +1,105 @@
+package org.sesamepin.standin.service;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sesamepin.standin.KeySightings;
+import org.sesamepin.standin.StandInServer;
+
+/**
+ * Stand-in of a plain service. Answers each call with the number of its execution and counts the
+ * executions by the caller's {@code Idempotency-Key}. {@code POST /standin/faults} sets what
+ * happens to the next calls: {@code drop-after} runs them and closes the connection, {@code
+ * drop-before} closes it without running them, {@code silent} runs them and never answers.
+ */
+public final class ServiceStandIn extends StandInServer {
+    private final String mName;
+    private final AtomicLong mExecutions = new AtomicLong();
+    private final Map<String, Long> mByKey = new TreeMap<>();
+    private final KeySightings mKeySightings = new KeySightings();
+    private String mFault = "none";
+    private long mFaultsLeft;
+    private long mDelayMs;
+
+    /** Creates a service that answers at once. */
+    public ServiceStandIn(Vertx vertx, InetSocketAddress address, String name, long delayMs) {
+        super(vertx, address);
+        mName = name;
+        mDelayMs = delayMs;
+    }
+
+    @Override
+    protected void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> handle(request, body));
+    }
+
+    private void handle(HttpServerRequest request, Buffer body) {
+        switch (request.path()) {
+            case "/standin/faults" -> setFault(request, json(body));
+            case "/standin/executions" -> answer(request, 200, executions());
+            case "/load" -> answer(request, 200, new JsonObject().put("active", 0));
+            default -> serve(request, body);
+        }
+    }
+
+    private synchronized void setFault(HttpServerRequest request, JsonObject fault) {
+        mFault = fault.getString("kind", "none");
+        mFaultsLeft = fault.getLong("count", 1L);
+        mDelayMs = fault.getLong("delay_ms", mDelayMs);
+        answer(request, 200, new JsonObject());
+    }
+
+    private synchronized JsonObject executions() {
+        return new JsonObject()
+                .put("executions", mExecutions.get())
+                .put("by_idempotency_key", new JsonObject(new TreeMap<>(mByKey)))
+                .put("key_sightings", mKeySightings.count());
+    }
+
+    private void serve(HttpServerRequest request, Buffer body) {
+        mKeySightings.look(request, body);
+        String fault = nextFault();
+        if (fault.equals("drop-before")) {
+            request.connection().close();
+            return;
+        }
+        long execution = mExecutions.incrementAndGet();
+        String key = request.getHeader("Idempotency-Key");
+        if (key != null) {
+            synchronized (this) {
+                mByKey.merge(key, 1L, Long::sum);
+            }
+        }
+        if (fault.equals("drop-after")) {
+            request.connection().close();
+            return;
+        }
+        if (fault.equals("silent")) {
+            return;
+        }
+        JsonObject reply =
+                new JsonObject()
+                        .put("service", mName)
+                        .put("execution", execution)
+                        .put("path", request.path())
+                        .put("received", body.toString());
+        if (mDelayMs > 0) {
+            mVertx.setTimer(mDelayMs, t -> answer(request, 200, reply));
+        } else {
+            answer(request, 200, reply);
+        }
+    }
+
+    private synchronized String nextFault() {
+        if (mFault.equals("none") || mFaultsLeft <= 0) {
+            return "none";
+        }
+        mFaultsLeft--;
+        return mFault;
+    }
+}
--- /dev/null
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/store/StoreStandIn.java
@@ -0,0 +1,178 @@
+package org.sesamepin.standin.store;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.standin.StandInServer;
+
+/**
+ * Stand-in of the platform's key-value service: the range, txn and lease calls of etcd v3's JSON
+ * gateway. Counts calls by kind and injects faults through {@code POST /standin/faults}.
+ */
+public final class StoreStandIn extends StandInServer {
+    private static final int MAX_VALUE_BYTES = 1_048_576;
+    private static final int LEASE_CHECK_MS = 50;
+
+    private final KeyValueState mState = new KeyValueState();
+    private final Map<String, Long> mCalls = new TreeMap<>();
+    private final long mLeaseTimer;
+    private StoreFault mFault = StoreFault.NONE;
+    private @Nullable KeyValueState mStale;
+
+    /** Creates an empty store. */
+    public StoreStandIn(Vertx vertx, InetSocketAddress address) {
+        super(vertx, address);
+        mLeaseTimer = vertx.setPeriodic(LEASE_CHECK_MS, t -> expireLeases());
+    }
+
+    private synchronized void expireLeases() {
+        if (mFault.kind() != StoreFault.Kind.OUTAGE) {
+            mState.expireLeases(nowMs());
+        }
+    }
+
+    /** Puts a fault in force; it replaces the former one. */
+    public synchronized void setFault(StoreFault fault) {
+        mFault = fault;
+        mStale = fault.kind() == StoreFault.Kind.STALE_READS ? mState.snapshot() : null;
+        if (fault.kind() == StoreFault.Kind.LEASES_LAPSE) {
+            mState.revokeAll();
+        }
+    }
+
+    /** Returns how many calls of each kind came, also those that a fault refused. */
+    public synchronized Map<String, Long> calls() {
+        return Map.copyOf(mCalls);
+    }
+
+    @Override
+    protected void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> handle(request, body));
+    }
+
+    private synchronized void handle(HttpServerRequest request, Buffer body) {
+        switch (request.path()) {
+            case "/standin/faults" -> {
+                setFault(StoreFault.fromJson(json(body)));
+                answer(request, 200, new JsonObject());
+            }
+            case "/standin/calls" -> answer(request, 200, new JsonObject(new TreeMap<>(mCalls)));
+            default -> serve(request, json(body));
+        }
+    }
+
+    private void serve(HttpServerRequest request, JsonObject body) {
+        String kind = kind(request.path(), body);
+        mCalls.merge(kind, 1L, Long::sum);
+        StoreFault fault = mFault;
+        switch (fault.kind()) {
+            case OUTAGE -> request.connection().close();
+            case SLOW -> mVertx.setTimer(fault.ms(), t -> answerNow(request, body));
+            case LOST_ANSWERS -> {
+                if (kind.equals("write")) {
+                    call(request.path(), body);
+                    mFault = fault.countedDown();
+                    request.connection().close();
+                } else {
+                    answerNow(request, body);
+                }
+            }
+            case RATE_LIMIT -> answer(request, 429, error(8, "too many requests"));
+            default -> answerNow(request, body);
+        }
+    }
+
+    private synchronized void answerNow(HttpServerRequest request, JsonObject body) {
+        JsonObject reply = call(request.path(), body);
+        answer(request, reply.containsKey("error") ? 400 : 200, reply);
+    }
+
+    private JsonObject call(String path, JsonObject body) {
+        return switch (path) {
+            case "/v3/kv/range" -> (mStale == null ? mState : mStale).range(body);
+            case "/v3/kv/txn" -> transact(body);
+            case "/v3/lease/grant" -> grant(body);
+            case "/v3/lease/keepalive" -> keepAlive(body);
+            case "/v3/lease/revoke" -> {
+                mState.revoke(KeyValueState.number(body, "ID"));
+                yield new JsonObject().put("header", mState.header());
+            }
+            default -> error(12, "not a call of this service: " + path);
+        };
+    }
+
+    private JsonObject transact(JsonObject body) {
+        JsonArray success = array(body, "success");
+        JsonArray failure = array(body, "failure");
+        if (tooLarge(success)) {
+            return error(3, "a value may have at most " + MAX_VALUE_BYTES + " bytes");
+        }
+        if (!mState.leasesExist(success)) {
+            return error(5, "requested lease not found");
+        }
+        JsonArray compares = array(body, "compare");
+        boolean readOnly = !kind("/v3/kv/txn", body).equals("write");
+        KeyValueState stale = mStale;
+        KeyValueState state = readOnly && stale != null ? stale : mState;
+        return state.transact(compares, success, failure);
+    }
+
+    private static boolean tooLarge(JsonArray operations) {
+        return operations.stream()
+                .map(o -> ((JsonObject) o).getJsonObject("request_put"))
+                .anyMatch(
+                        p ->
+                                p != null
+                                        && p.getString("value", "").length() * 3L / 4
+                                                > MAX_VALUE_BYTES);
+    }
+
+    private JsonObject grant(JsonObject body) {
+        long ttl = KeyValueState.number(body, "TTL");
+        long id = mState.grantLease(ttl * 1_000, nowMs());
+        return new JsonObject().put("ID", Long.toString(id)).put("TTL", Long.toString(ttl));
+    }
+
+    private JsonObject keepAlive(JsonObject body) {
+        long id = KeyValueState.number(body, "ID");
+        long ttl = mState.keepAlive(id, nowMs());
+        JsonObject result = new JsonObject().put("ID", Long.toString(id));
+        if (ttl > 0) {
+            result.put("TTL", Long.toString(ttl));
+        }
+        return new JsonObject().put("result", result);
+    }
+
+    private static String kind(String path, JsonObject body) {
+        if (path.startsWith("/v3/lease/")) {
+            return path.substring("/v3/lease/".length());
+        }
+        if (path.equals("/v3/kv/txn")) {
+            boolean write =
+                    array(body, "success").stream()
+                            .anyMatch(o -> !((JsonObject) o).containsKey("request_range"));
+            return write ? "write" : "read";
+        }
+        return path.equals("/v3/kv/range") ? "read" : "other";
+    }
+
+    private static JsonObject error(int code, String message) {
+        return new JsonObject().put("error", message).put("code", code).put("message", message);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void close() throws Exception {
+        mVertx.cancelTimer(mLeaseTimer);
+        super.close();
+    }
+}
