--- a/sesamepin-core/src/main/java/org/sesamepin/core/batch/JobStatus.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/batch/JobStatus.java
@@ -1,5 +1,6 @@
 package org.sesamepin.core.batch;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.Locale;
 
@@ -16,6 +17,12 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /** Reads a status in lower case; throws IllegalArgumentException for anything else. */
+    @JsonCreator
+    public static JobStatus of(String label) {
+        return valueOf(label.toUpperCase(Locale.ROOT));
+    }
+
     /** Tells whether no item starts any more. */
     public boolean isTerminal() {
         return this == CANCELLED || this == COMPLETED;
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/admin/NodeMetrics.java
@@ -0,0 +1,109 @@
+package org.sesamepin.node.admin;
+
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.sesamepin.core.batch.ItemOutcome;
+import org.sesamepin.node.http.ProblemType;
+
+/** Counters and histograms of one node. */
+public final class NodeMetrics {
+    private static final double[] SECONDS = {
+        0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.73, 1, 2, 5, 10, 30
+    };
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mAdmitted =
+            counter("sesamepin_requests_admitted", "Requests admitted.", "customer", "class");
+    private final Counter mRefused =
+            counter("sesamepin_requests_refused", "Requests refused.", "customer", "reason");
+    private final Counter mCompleted =
+            counter(
+                    "sesamepin_requests_completed",
+                    "Requests answered whole.",
+                    "customer",
+                    "class");
+    private final Counter mRetries =
+            counter("sesamepin_retries", "Retried calls.", "target", "step");
+    private final Counter mItems =
+            counter("sesamepin_batch_attempts", "Attempts at batch items.", "customer", "outcome");
+    private final Counter mPreemptions =
+            counter("sesamepin_preemptions", "Batch items that gave way.", "target");
+    private final Histogram mFirstByte =
+            Histogram.builder()
+                    .name("sesamepin_first_byte_seconds")
+                    .help("Time from request to the first byte of the answer.")
+                    .labelNames("class")
+                    .classicOnly()
+                    .classicUpperBounds(SECONDS)
+                    .register(mRegistry);
+
+    /** Creates all metrics in a registry of their own. */
+    public NodeMetrics() {
+        JvmMetrics.builder().register(mRegistry);
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+    }
+
+    /** Registers a gauge that is read when it is asked for. */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsDouble()))
+                .register(mRegistry);
+    }
+
+    /** Counts an admitted request of class {@code online} or {@code batch}. */
+    public void admitted(String customer, String requestClass) {
+        mAdmitted.labelValues(customer, requestClass).inc();
+    }
+
+    /** Counts a refusal. */
+    public void refused(String customer, ProblemType reason) {
+        mRefused.labelValues(customer, reason.label()).inc();
+    }
+
+    /** Counts a request that was answered whole. */
+    public void completed(String customer, String requestClass) {
+        mCompleted.labelValues(customer, requestClass).inc();
+    }
+
+    /** Counts a retry after a failure at {@code step}. */
+    public void retried(String target, String step) {
+        mRetries.labelValues(target, step).inc();
+    }
+
+    /** Counts an attempt at a batch item. */
+    public void item(String customer, ItemOutcome outcome) {
+        mItems.labelValues(customer, outcome.name().toLowerCase(java.util.Locale.ROOT)).inc();
+    }
+
+    /** Counts a preemption. */
+    public void preempted(String target) {
+        mPreemptions.labelValues(target).inc();
+    }
+
+    /** Notes the time to the first byte, nanoseconds. */
+    public void firstByte(String requestClass, long nanos) {
+        DistributionDataPoint point = mFirstByte.labelValues(requestClass);
+        point.observe((double) nanos / TimeUnit.SECONDS.toNanos(1));
+    }
+
+    /** Returns all metrics in Prometheus' text format. */
+    public byte[] text() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new PrometheusTextFormatWriter(true).write(out, mRegistry.scrape());
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -0,0 +1,87 @@
+package org.sesamepin.node.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.function.Consumer;
+import org.sesamepin.core.error.Step;
+
+/** Reads a request's body with a bound on its size and on the caller's silence. */
+public final class BodyReader {
+    private BodyReader() {}
+
+    /** Reads a whole body of at most {@code maxBytes}. */
+    public static Future<Buffer> read(
+            Vertx vertx, HttpServerRequest request, long maxBytes, long timeoutMs) {
+        Buffer body = Buffer.buffer();
+        return stream(vertx, request, maxBytes, timeoutMs, body::appendBuffer).map(body);
+    }
+
+    /**
+     * Passes each part of a body of at most {@code maxBytes} to {@code parts}; of a form, the parts
+     * of its files.
+     */
+    public static Future<Void> stream(
+            Vertx vertx,
+            HttpServerRequest request,
+            long maxBytes,
+            long timeoutMs,
+            Consumer<Buffer> parts) {
+        Promise<Void> promise = Promise.promise();
+        long[] size = {0};
+        long[] lastAt = {System.nanoTime()};
+        long timer =
+                vertx.setPeriodic(
+                        Math.max(10, timeoutMs / 4),
+                        t -> {
+                            if (System.nanoTime() - lastAt[0] > timeoutMs * 1_000_000) {
+                                promise.tryFail(problem(ProblemType.CALLER_TOO_SLOW, "silence"));
+                            }
+                        });
+        Handler<Buffer> onPart =
+                part -> {
+                    lastAt[0] = System.nanoTime();
+                    size[0] += part.length();
+                    if (size[0] > maxBytes) {
+                        String detail = "at most " + maxBytes + " bytes are allowed";
+                        promise.tryFail(problem(ProblemType.TOO_LARGE, detail));
+                        return;
+                    }
+                    parts.accept(part);
+                };
+        String type = request.getHeader("Content-Type");
+        if (type != null && type.startsWith("multipart/form-data")) {
+            request.setExpectMultipart(true);
+            request.uploadHandler(upload -> upload.handler(onPart));
+        } else {
+            request.handler(onPart);
+        }
+        request.exceptionHandler(
+                e -> promise.tryFail(problem(ProblemType.MALFORMED_REQUEST, "cut short")));
+        request.endHandler(v -> promise.tryComplete());
+        request.resume();
+        return promise.future()
+                .eventually(
+                        () -> {
+                            vertx.cancelTimer(timer);
+                            return Future.succeededFuture();
+                        })
+                .onFailure(e -> closeAfterAnswer(request));
+    }
+
+    /** The rest of the body is not wanted, so the connection cannot be used again. */
+    private static void closeAfterAnswer(HttpServerRequest request) {
+        request.handler(null);
+        if (!request.response().headWritten()) {
+            request.response().putHeader("Connection", "close");
+        }
+        request.response().endHandler(v -> request.connection().close());
+    }
+
+    private static Problem problem(ProblemType type, String detail) {
+        return new Problem(type, Step.READ_REQUEST, detail);
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ProblemType.java
@@ -0,0 +1,49 @@
+package org.sesamepin.node.http;
+
+import java.util.Locale;
+
+/** Kinds of error that callers see; the name is stable, the texts are not. */
+public enum ProblemType {
+    MALFORMED_REQUEST(400, "The request is not well formed"),
+    KEY_MISPLACED(400, "A key stands outside the header for keys"),
+    KEY_REFUSED(401, "The key is missing, unknown or withdrawn"),
+    KEY_WITHDRAWN(401, "The key was withdrawn while the request ran"),
+    NOT_FOUND(404, "There is nothing at this path"),
+    UNKNOWN_MODEL(404, "No such model"),
+    METHOD_REFUSED(405, "The route does not take this method"),
+    CALLER_TOO_SLOW(408, "The request did not arrive in time"),
+    IN_DOUBT(409, "An earlier request with this idempotency key may have run"),
+    KEY_REUSED(409, "The idempotency key belongs to another request"),
+    CONFLICT(409, "The state does not allow this"),
+    TOO_LARGE(413, "The request is too large"),
+    RATE_EXCEEDED(429, "The customer's rate is used up"),
+    TARGET_FAILED(502, "The target failed"),
+    NO_TARGET(503, "No target can take the request now"),
+    OVERLOADED(503, "No slot became free in time"),
+    KEYS_NOT_FRESH(503, "The node cannot know whether the key is still good"),
+    STORE_UNAVAILABLE(503, "The platform's store cannot be reached"),
+    STOPPING(503, "The node is stopping"),
+    TARGET_TIMEOUT(504, "The target did not answer in time"),
+    INTERNAL(500, "Internal error");
+
+    private final int mStatus;
+    private final String mTitle;
+
+    ProblemType(int status, String title) {
+        mStatus = status;
+        mTitle = title;
+    }
+
+    public int status() {
+        return mStatus;
+    }
+
+    public String title() {
+        return mTitle;
+    }
+
+    /** Returns the stable name, for example {@code rate-exceeded}. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -0,0 +1,342 @@
+package org.sesamepin.node.online;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.bundle.Model;
+import org.sesamepin.core.bundle.Target;
+import org.sesamepin.core.error.Execution;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.node.http.BodyReader;
+import org.sesamepin.node.http.Problem;
+import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.slot.SlotLease;
+import org.sesamepin.node.spi.TargetProtocol;
+import org.sesamepin.node.target.TargetClient;
+import org.sesamepin.node.target.TargetHeaders;
+
+/**
+ * One model call of a caller, whole or streamed. A call is repeated at another target as long as
+ * nothing of its answer was passed on; a broken stream is resumed behind the last event passed on,
+ * or ends with an error event. An answer that belongs to another request is discarded with its
+ * connection.
+ */
+final class CompletionRequest extends OnlineRequestBase {
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int CHARS_PER_TOKEN = 4;
+    private static final int DEFAULT_TOKENS = 256;
+    private static final int MIN_CHECK_MS = 10;
+
+    private final EventStreamParser mParser = new EventStreamParser(this::passOn);
+    private Buffer mBody = Buffer.buffer();
+    private JsonObject mCall = new JsonObject();
+    private @Nullable Model mModel;
+    private @Nullable HttpClientRequest mTargetRequest;
+    private @Nullable HttpClientResponse mTargetResponse;
+    private long mLastProgressAt;
+    private long mTimer = -1;
+    private boolean mPassedOn;
+    private boolean mAborted;
+
+    CompletionRequest(OnlineContext node, HttpServerRequest request) {
+        super(node, request);
+    }
+
+    @Override
+    protected void begin() throws Problem {
+        identified(mNode.authenticator().identify(mRequest));
+        BodyReader.read(
+                        mNode.vertx(),
+                        mRequest,
+                        mNode.limits().maxBodyBytes(),
+                        mNode.limits().readTimeoutMs())
+                .compose(this::checked)
+                .compose(v -> admit())
+                .onSuccess(v -> attempt())
+                .onFailure(this::fail);
+    }
+
+    private Future<Void> checked(Buffer body) {
+        try {
+            KeyFilter.check(caller(), mRequest, body);
+            mCall = body.toJsonObject();
+        } catch (Problem e) {
+            return Future.failedFuture(e);
+        } catch (DecodeException | ClassCastException e) {
+            return Future.failedFuture(
+                    new Problem(
+                            ProblemType.MALFORMED_REQUEST, Step.READ_REQUEST, "not a JSON object"));
+        }
+        mBody = body;
+        Object name = mCall.getValue("model");
+        mModel = name == null ? null : caller().bundle().models().get(name.toString());
+        if (mModel == null) {
+            String known = caller().bundle().models().keySet().toString();
+            return Future.failedFuture(
+                    new Problem(ProblemType.UNKNOWN_MODEL, Step.ROUTE, "known models: " + known));
+        }
+        return Future.succeededFuture();
+    }
+
+    private Model model() {
+        Model model = mModel;
+        if (model == null) {
+            throw new IllegalStateException("the model is checked first");
+        }
+        return model;
+    }
+
+    private void attempt() {
+        acquire(model().name(), estimatedTokens(), model().queueTimeoutMs())
+                .onSuccess(this::callTarget)
+                .onFailure(this::giveUp);
+    }
+
+    private long estimatedTokens() {
+        Object limit = mCall.getValue("max_tokens");
+        int tokens = limit instanceof Number number ? number.intValue() : DEFAULT_TOKENS;
+        return mBody.length() / CHARS_PER_TOKEN + Math.max(1, tokens);
+    }
+
+    private void callTarget(SlotLease lease) {
+        Target target = lease.target();
+        TargetProtocol protocol;
+        try {
+            protocol = mNode.plugins().protocol(target.protocol());
+        } catch (SesamepinException e) {
+            giveUp(e);
+            return;
+        }
+        RequestOptions options = TargetClient.to(target, mRequest.method(), mRequest.path());
+        KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
+        protocol.prepare(options, target, mId, mPassedOn ? mParser.lastId() : null);
+        mLastProgressAt = System.nanoTime();
+        startTimer(lease);
+        here(mNode.client().open(target, options, true))
+                .compose(request -> send(request))
+                .onSuccess(response -> answered(lease, protocol, response))
+                .onFailure(e -> broken(lease, e));
+    }
+
+    private Future<HttpClientResponse> send(HttpClientRequest request) {
+        mTargetRequest = request;
+        if (hasEnded()) {
+            request.reset();
+            return Future.failedFuture("the caller left");
+        }
+        return request.send(mBody);
+    }
+
+    private void startTimer(SlotLease lease) {
+        stopTimer();
+        long interval = Math.max(MIN_CHECK_MS, model().progressTimeoutMs() / 8);
+        mTimer = mNode.vertx().setPeriodic(interval, t -> checkProgress(lease));
+    }
+
+    private void stopTimer() {
+        if (mTimer >= 0) {
+            mNode.vertx().cancelTimer(mTimer);
+            mTimer = -1;
+        }
+    }
+
+    private void checkProgress(SlotLease lease) {
+        boolean streaming = Boolean.TRUE.equals(mCall.getValue("stream"));
+        long limitMs = streaming ? model().progressTimeoutMs() : model().requestTimeoutMs();
+        long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mLastProgressAt);
+        boolean waitsForCaller = mRequest.response().writeQueueFull();
+        if (silentMs > limitMs && !waitsForCaller) {
+            broken(lease, timeout(lease));
+        }
+    }
+
+    private static SesamepinException timeout(SlotLease lease) {
+        return new SesamepinException(
+                Step.AWAIT_RESPONSE, lease.target().name(), Execution.UNKNOWN, "silent", null);
+    }
+
+    private void answered(SlotLease lease, TargetProtocol protocol, HttpClientResponse response) {
+        String answeredId = response.getHeader(TargetHeaders.REQUEST_ID);
+        if (!protocol.belongs(mId, answeredId)) {
+            broken(lease, failure(lease, "answer of another request"));
+            return;
+        }
+        if (response.statusCode() >= STATUS_SERVER_ERROR) {
+            broken(lease, failure(lease, "status " + response.statusCode()));
+            return;
+        }
+        mTargetResponse = response;
+        mLastProgressAt = System.nanoTime();
+        String type = response.getHeader("Content-Type");
+        if (type != null && type.startsWith("text/event-stream")) {
+            relay(lease, response);
+        } else {
+            collect(lease, response);
+        }
+    }
+
+    private static SesamepinException failure(SlotLease lease, String message) {
+        return new SesamepinException(
+                Step.AWAIT_RESPONSE, lease.target().name(), Execution.UNKNOWN, message, null);
+    }
+
+    private void collect(SlotLease lease, HttpClientResponse response) {
+        Buffer answer = Buffer.buffer();
+        response.handler(
+                part -> {
+                    mLastProgressAt = System.nanoTime();
+                    answer.appendBuffer(part);
+                    if (answer.length() > MAX_ANSWER_BYTES) {
+                        broken(lease, failure(lease, "answer too large"));
+                    }
+                });
+        response.exceptionHandler(e -> broken(lease, e));
+        response.endHandler(
+                v -> {
+                    if (hasEnded() || mTargetResponse != response) {
+                        return;
+                    }
+                    stopTimer();
+                    firstByte();
+                    String type = response.getHeader("Content-Type");
+                    mRequest.response()
+                            .setStatusCode(response.statusCode())
+                            .putHeader("Content-Type", type == null ? "application/json" : type)
+                            .putHeader(TargetHeaders.REQUEST_ID, mId)
+                            .end(answer);
+                    completed();
+                });
+    }
+
+    private void relay(SlotLease lease, HttpClientResponse response) {
+        response.handler(
+                part -> {
+                    mLastProgressAt = System.nanoTime();
+                    if (hasEnded() || mTargetResponse != response) {
+                        return;
+                    }
+                    if (!mParser.accept(part)) {
+                        broken(lease, failure(lease, "event too large"));
+                        return;
+                    }
+                    slowDown(response);
+                });
+        response.exceptionHandler(e -> broken(lease, e));
+        response.endHandler(
+                v -> {
+                    if (hasEnded() || mTargetResponse != response) {
+                        return;
+                    }
+                    if (!mParser.isDone()) {
+                        broken(lease, failure(lease, "stream ended early"));
+                        return;
+                    }
+                    stopTimer();
+                    mRequest.response().end();
+                    completed();
+                });
+    }
+
+    private void slowDown(HttpClientResponse response) {
+        HttpServerResponse caller = mRequest.response();
+        if (caller.writeQueueFull()) {
+            response.pause();
+            caller.drainHandler(
+                    v -> {
+                        mLastProgressAt = System.nanoTime();
+                        response.resume();
+                    });
+        }
+    }
+
+    private void passOn(Buffer event) {
+        HttpServerResponse caller = mRequest.response();
+        if (!mPassedOn) {
+            firstByte();
+            mPassedOn = true;
+            caller.setChunked(true)
+                    .putHeader("Content-Type", "text/event-stream")
+                    .putHeader("Cache-Control", "no-store")
+                    .putHeader(TargetHeaders.REQUEST_ID, mId);
+        }
+        caller.write(event);
+    }
+
+    /** The call at this target failed: resumes or repeats it elsewhere. */
+    private void broken(SlotLease lease, Throwable cause) {
+        if (hasEnded() || mAborted) {
+            return;
+        }
+        stopTimer();
+        dropTarget();
+        releaseSlot(true);
+        logRetry(lease, cause);
+        boolean canGoOn = !mPassedOn || (canResume(lease) && mParser.lastId() != null);
+        if (!canGoOn) {
+            fail(targetFailed(lease, cause));
+            return;
+        }
+        mParser.restart();
+        attempt();
+    }
+
+    private boolean canResume(SlotLease lease) {
+        try {
+            return mNode.plugins().protocol(lease.target().protocol()).canResume();
+        } catch (SesamepinException e) {
+            return false;
+        }
+    }
+
+    private static Problem targetFailed(SlotLease lease, Throwable cause) {
+        return new Problem(
+                ProblemType.TARGET_FAILED,
+                Step.STREAM,
+                lease.target().name(),
+                Execution.UNKNOWN,
+                "the answer broke off and cannot be resumed",
+                0,
+                cause);
+    }
+
+    /** No further target can be tried. */
+    private void giveUp(Throwable e) {
+        fail(e);
+    }
+
+    private void dropTarget() {
+        mTargetResponse = null;
+        HttpClientRequest request = mTargetRequest;
+        mTargetRequest = null;
+        if (request != null) {
+            request.reset();
+        }
+    }
+
+    @Override
+    protected void abort() {
+        mAborted = true;
+        stopTimer();
+        dropTarget();
+    }
+
+    @Override
+    protected void answer(Problem problem) {
+        HttpServerResponse response = mRequest.response();
+        if (!mPassedOn || response.ended()) {
+            super.answer(problem);
+            return;
+        }
+        response.end("event: error\ndata: " + problem.toJson(mId).encode() + "\n\n");
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/platform/EtcdStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/platform/EtcdStore.java
@@ -180,7 +180,9 @@
                 entries.add(entry(found.getJsonObject(j)));
             }
         }
-        return new StoreResult(Boolean.TRUE.equals(reply.getBoolean("succeeded")), entries);
+        long revision = number(reply.getJsonObject("header", new JsonObject()), "revision");
+        boolean committed = Boolean.TRUE.equals(reply.getBoolean("succeeded"));
+        return new StoreResult(revision, committed, entries);
     }
 
     private static StoreEntry entry(JsonObject json) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/spi/StoreResult.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/spi/StoreResult.java
@@ -6,10 +6,11 @@
 /**
  * Answer to a transaction.
  *
+ * @param revision revision of the store after the call; a committed write has it as its own
  * @param committed whether all comparisons held and the writes took effect
  * @param read what was read instead, when they did not
  */
-public record StoreResult(boolean committed, List<StoreEntry> read) {
+public record StoreResult(long revision, boolean committed, List<StoreEntry> read) {
     /** Returns the entry for {@code key} among those read, or null. */
     public @Nullable StoreEntry entry(String key) {
         for (StoreEntry entry : read) {
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -25,7 +25,7 @@
   9: list<string> view
   10: list<TargetLoad> targets
   11: map<string, i32> pendingItems
-  12: string callerAddress
+  12: string peerAddress
 }
 
 struct Heartbeat {
