Add the command line, the demo fleet and the single binary

Cause: nothing could be run yet. Change: subcommands for nodes, bundles, keys, status, usage and stand-ins; a demo fleet in one process; one executable file.

--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Arguments.java
@@ -0,0 +1,67 @@
+package org.sesamepin.cli;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.jspecify.annotations.Nullable;
+
+/** Options and words of one subcommand, with its help. */
+final class Arguments {
+    private final String mUsage;
+    private final OptionParser mParser = new OptionParser();
+    private final OptionSpec<Void> mHelp;
+    private @Nullable OptionSet mOptions;
+
+    /** Creates the arguments of a command whose usage line is {@code usage}. */
+    Arguments(String usage) {
+        mUsage = usage;
+        mHelp = mParser.accepts("help", "this text").forHelp();
+    }
+
+    OptionParser parser() {
+        return mParser;
+    }
+
+    /** Parses the words; returns false when only the help was wanted and printed. */
+    boolean parse(List<String> args, Output out) throws IOException {
+        OptionSet options = mParser.parse(args.toArray(new String[0]));
+        mOptions = options;
+        if (!options.has(mHelp)) {
+            return true;
+        }
+        StringWriter text = new StringWriter();
+        mParser.printHelpOn(text);
+        out.line("Usage: sesamepin " + mUsage);
+        out.line("");
+        out.line(text.toString());
+        return false;
+    }
+
+    private OptionSet options() {
+        OptionSet options = mOptions;
+        if (options == null) {
+            throw new IllegalStateException("parsed first");
+        }
+        return options;
+    }
+
+    <T> T get(OptionSpec<T> option) {
+        return options().valueOf(option);
+    }
+
+    boolean has(OptionSpec<?> option) {
+        return options().has(option);
+    }
+
+    /** Returns the words that are no options; fails unless there are {@code count}. */
+    List<String> words(int count) throws UsageException {
+        List<String> words = options().nonOptionArguments().stream().map(Object::toString).toList();
+        if (words.size() != count) {
+            throw new UsageException("usage: sesamepin " + mUsage);
+        }
+        return words;
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/BundleCommand.java
@@ -0,0 +1,304 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import joptsimple.OptionSpec;
+import org.sesamepin.core.bundle.Bundle;
+import org.sesamepin.core.bundle.BundleParser;
+import org.sesamepin.core.bundle.SignedBundle;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.node.fleet.Head;
+import org.sesamepin.node.fleet.HostRecord;
+import org.sesamepin.node.fleet.StoreKeys;
+import org.sesamepin.node.spi.PlatformStore;
+import org.sesamepin.node.spi.StoreRead;
+import org.sesamepin.node.spi.StoreResult;
+
+/** {@code sesamepin bundle}: makes, checks, signs, compares and rolls bundles. */
+final class BundleCommand implements Command {
+    private static final long DEFAULT_WAIT_MS = 30_000;
+
+    private static final String TEMPLATE =
+            """
+            # A bundle: customers, keys, rates, routes, models and targets of one version.
+            [bundle]
+            version = 1
+            preference = throughput
+
+            [customer example]
+            rate = 10
+            burst = 20
+
+            [model example-model]
+            progress_timeout_ms = 5000
+
+            [target example-1]
+            model = example-model
+            address = 127.0.0.1:9001
+            slots = 8
+            """;
+
+    @Override
+    public String name() {
+        return "bundle";
+    }
+
+    @Override
+    public String summary() {
+        return "new, check, sign, diff, roll, show, history";
+    }
+
+    @Override
+    public int run(List<String> args, Output out) throws Exception {
+        String action = args.isEmpty() ? "--help" : args.get(0);
+        List<String> rest = args.isEmpty() ? args : args.subList(1, args.size());
+        return switch (action) {
+            case "new" -> create(rest, out);
+            case "check" -> check(rest, out);
+            case "sign" -> sign(rest, out);
+            case "diff" -> diff(rest, out);
+            case "roll" -> roll(rest, out);
+            case "show" -> show(rest, out);
+            case "history" -> history(rest, out);
+            case "--help" -> {
+                out.line("Usage: sesamepin bundle new FILE");
+                out.line("       sesamepin bundle check FILE");
+                out.line(
+                        "       sesamepin bundle sign FILE --operator NAME --key FILE --out FILE"
+                                + " [--set-version N]");
+                out.line("       sesamepin bundle diff FILE FILE");
+                out.line("       sesamepin bundle roll SIGNED --store ADDRESS [--wait]");
+                out.line("       sesamepin bundle show VERSION --store ADDRESS");
+                out.line("       sesamepin bundle history --store ADDRESS [--json]");
+                yield Main.OK;
+            }
+            default -> throw new UsageException("no action '" + action + "'");
+        };
+    }
+
+    private static int create(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle new FILE");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        Path file = Path.of(arguments.words(1).get(0));
+        Files.writeString(file, TEMPLATE, StandardOpenOption.CREATE_NEW);
+        out.line("wrote " + file);
+        return Main.OK;
+    }
+
+    private static int check(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle check FILE");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        String file = arguments.words(1).get(0);
+        Bundle bundle = BundleParser.parse(file, read(file));
+        out.line(
+                String.format(
+                        "ok: version %d, %d customers, %d keys, %d models, %d targets, %d routes",
+                        bundle.version(),
+                        bundle.customers().size(),
+                        bundle.keys().all().size(),
+                        bundle.models().size(),
+                        bundle.targets().size(),
+                        bundle.routes().size()));
+        return Main.OK;
+    }
+
+    static String read(String file) throws SesamepinException {
+        try {
+            return Files.readString(Path.of(file), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new SesamepinException(Step.LOAD_BUNDLE, file, "cannot read: " + e);
+        }
+    }
+
+    private static int sign(List<String> args, Output out) throws Exception {
+        Arguments arguments =
+                new Arguments(
+                        "bundle sign FILE --operator NAME --key FILE --out FILE [--set-version N]");
+        OptionSpec<String> operator =
+                arguments.parser().accepts("operator", "who signs").withRequiredArg().required();
+        OptionSpec<String> key =
+                arguments
+                        .parser()
+                        .accepts("key", "file with the private key")
+                        .withRequiredArg()
+                        .required();
+        OptionSpec<String> target =
+                arguments
+                        .parser()
+                        .accepts("out", "file for the signed bundle")
+                        .withRequiredArg()
+                        .required();
+        OptionSpec<Long> version =
+                arguments
+                        .parser()
+                        .accepts("set-version", "first writes this version into FILE")
+                        .withRequiredArg()
+                        .ofType(Long.class);
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        String file = arguments.words(1).get(0);
+        String text = read(file);
+        if (arguments.has(version)) {
+            text = BundleText.withVersion(text, arguments.get(version));
+            Files.writeString(Path.of(file), text, StandardCharsets.UTF_8);
+        }
+        Bundle bundle = BundleParser.parse(file, text);
+        SignedBundle signed =
+                SignedBundle.sign(text, arguments.get(operator), read(arguments.get(key)));
+        Files.writeString(Path.of(arguments.get(target)), signed.toJson(), StandardCharsets.UTF_8);
+        out.line("signed version " + bundle.version() + " into " + arguments.get(target));
+        return Main.OK;
+    }
+
+    private static int diff(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle diff FILE FILE");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        List<String> files = arguments.words(2);
+        List<String> before = entries(files.get(0));
+        List<String> after = entries(files.get(1));
+        before.stream().filter(e -> !after.contains(e)).forEach(e -> out.line("- " + e));
+        after.stream().filter(e -> !before.contains(e)).forEach(e -> out.line("+ " + e));
+        return Main.OK;
+    }
+
+    /** Returns the settings of a bundle, signed or not, each with its section. */
+    private static List<String> entries(String file) throws SesamepinException {
+        String text = read(file);
+        String ini = text.startsWith("{") ? SignedBundle.fromJson(text).text() : text;
+        BundleParser.parse(file, ini);
+        List<String> entries = new ArrayList<>();
+        String section = "";
+        for (String line : ini.split("\n", -1)) {
+            String trimmed = line.trim();
+            if (trimmed.startsWith("[")) {
+                section = trimmed;
+                entries.add(section);
+            } else if (!trimmed.isEmpty() && !trimmed.startsWith("#") && !trimmed.startsWith(";")) {
+                entries.add(section + " " + trimmed.replaceAll("\\s*=\\s*", " = "));
+            }
+        }
+        return entries;
+    }
+
+    private static int roll(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle roll SIGNED --store ADDRESS [--wait]");
+        StoreOption store = new StoreOption(arguments);
+        OptionSpec<Void> wait =
+                arguments
+                        .parser()
+                        .accepts("wait", "returns when the version is in force on all live hosts");
+        OptionSpec<Long> timeout =
+                arguments
+                        .parser()
+                        .accepts("timeout-ms", "longest wait, milliseconds")
+                        .withRequiredArg()
+                        .ofType(Long.class)
+                        .defaultsTo(DEFAULT_WAIT_MS);
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        SignedBundle signed = SignedBundle.fromJson(read(arguments.words(1).get(0)));
+        Vertx vertx = Vertx.vertx();
+        try (PlatformStore client = store.open(vertx, arguments)) {
+            BundleRoll roll = new BundleRoll(client);
+            Head head = roll.roll(signed);
+            out.line("version " + head.version() + " accepted");
+            if (!arguments.has(wait)) {
+                return Main.OK;
+            }
+            List<HostRecord> behind = roll.awaitInForce(head.version(), arguments.get(timeout));
+            if (behind.isEmpty()) {
+                out.line("in force on all live hosts");
+                return Main.OK;
+            }
+            out.line("not in force on: " + describe(behind));
+            return Main.FAILED;
+        } finally {
+            vertx.close();
+        }
+    }
+
+    static String describe(List<HostRecord> behind) {
+        return behind.stream()
+                .map(
+                        h ->
+                                h.host()
+                                        + " (at "
+                                        + h.inForce()
+                                        + (h.refused().isEmpty() ? "" : ": " + h.refused())
+                                        + ")")
+                .collect(Collectors.joining(", "));
+    }
+
+    private static int show(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle show VERSION --store ADDRESS");
+        StoreOption store = new StoreOption(arguments);
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        String word = arguments.words(1).get(0);
+        Vertx vertx = Vertx.vertx();
+        try (PlatformStore client = store.open(vertx, arguments)) {
+            SignedBundle signed = new BundleRoll(client).version(Long.parseLong(word));
+            out.line("# signed by " + signed.operator());
+            out.line(signed.text());
+            return Main.OK;
+        } catch (NumberFormatException e) {
+            throw new UsageException("'" + word + "' is not a version");
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static int history(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("bundle history --store ADDRESS [--json]");
+        StoreOption store = new StoreOption(arguments);
+        OptionSpec<Void> json = arguments.parser().accepts("json", "prints JSON");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        Vertx vertx = Vertx.vertx();
+        try (PlatformStore client = store.open(vertx, arguments)) {
+            StoreResult result =
+                    Waiting.get(
+                            client.read(List.of(StoreRead.ofPrefix(StoreKeys.versions()))),
+                            StoreOption.TIMEOUT_MS);
+            JsonArray versions = new JsonArray();
+            List<List<String>> rows = new ArrayList<>();
+            for (var entry : result.read()) {
+                SignedBundle signed = SignedBundle.fromJson(entry.text());
+                long version = BundleParser.parse("bundle", signed.text()).version();
+                rows.add(List.of(Long.toString(version), signed.operator()));
+                versions.add(
+                        new JsonObject()
+                                .put("version", version)
+                                .put("operator", signed.operator()));
+            }
+            if (arguments.has(json)) {
+                out.line(versions.encode());
+            } else {
+                out.table(List.of("VERSION", "OPERATOR"), rows);
+            }
+            return Main.OK;
+        } finally {
+            vertx.close();
+        }
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/DemoFleet.java
@@ -0,0 +1,260 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.bundle.SignedBundle;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.core.key.KeyDigest;
+import org.sesamepin.core.key.KeySecret;
+import org.sesamepin.core.lifecycle.Closer;
+import org.sesamepin.node.Node;
+import org.sesamepin.node.settings.NodeSettings;
+import org.sesamepin.node.spi.PlatformStore;
+import org.sesamepin.node.spi.PluginRegistry;
+import org.sesamepin.standin.StandInServer;
+import org.sesamepin.standin.engine.EngineSettings;
+import org.sesamepin.standin.engine.EngineStandIn;
+import org.sesamepin.standin.hostlist.HostListStandIn;
+import org.sesamepin.standin.service.ServiceStandIn;
+import org.sesamepin.standin.store.StoreStandIn;
+
+/**
+ * A small fleet in one process: stand-ins of the platform, three engines of unequal speed, a plain
+ * service, and three nodes with a signed bundle. Also the fleet under the scenario tests.
+ */
+public final class DemoFleet implements AutoCloseable {
+    /** Nodes in the fleet. */
+    public static final int NODES = 3;
+
+    private static final long START_TIMEOUT_MS = 30_000;
+    private static final int ENGINES = 3;
+    private static final int SLOTS = 4;
+    private static final int KV_TOKENS = 65_536;
+    private static final int REPORT_LAG_MS = 200;
+    private static final String HOST = "127.0.0.1";
+    private static final String[] DOMAINS = {"cusco-a", "cusco-b", "cusco-c"};
+    private static final String OPERATOR = "demo";
+
+    private final int mPort;
+    private final Vertx mVertx = Vertx.vertx();
+    private final Closer mCloser = new Closer();
+    private final KeyPair mOperatorKey;
+    private final List<Node> mNodes = new ArrayList<>();
+    private final List<EngineStandIn> mEngines = new ArrayList<>();
+    private final String mKey = KeySecret.generate("demo-key", new SecureRandom());
+    private final String mOtherKey = KeySecret.generate("other-key", new SecureRandom());
+    private final StoreStandIn mStore;
+    private final ServiceStandIn mService;
+    private long mVersion;
+
+    /** Creates a fleet that uses ports from {@code firstPort} on. */
+    public DemoFleet(int firstPort) throws Exception {
+        mPort = firstPort;
+        mOperatorKey = KeyPairGenerator.getInstance("Ed25519").generateKeyPair();
+        mCloser.add(() -> Waiting.get(mVertx.close(), START_TIMEOUT_MS));
+        mStore = mCloser.add(new StoreStandIn(mVertx, at(storePort())));
+        mService = mCloser.add(new ServiceStandIn(mVertx, at(mPort + 2), "app-recuas", 5));
+    }
+
+    private int storePort() {
+        return mPort;
+    }
+
+    private static InetSocketAddress at(int port) {
+        return new InetSocketAddress(HOST, port);
+    }
+
+    /** Starts everything and waits until each node is ready. */
+    public void start() throws Exception {
+        run(mStore);
+        run(mService);
+        run(mCloser.add(new HostListStandIn(mVertx, at(mPort + 1), 0)));
+        for (int i = 0; i < ENGINES; i++) {
+            EngineSettings settings =
+                    new EngineSettings("modelo-carga", SLOTS, 5 + 5L * i, KV_TOKENS, REPORT_LAG_MS);
+            EngineStandIn engine =
+                    mCloser.add(new EngineStandIn(mVertx, at(enginePort(i)), settings));
+            mEngines.add(engine);
+            run(engine);
+        }
+        roll(bundle(""));
+        for (int i = 0; i < NODES; i++) {
+            startNode(i);
+        }
+        awaitReady();
+    }
+
+    /** Starts the node {@code index}. */
+    public void startNode(int index) throws Exception {
+        Node node = mCloser.add(new Node(mVertx, settings(index)));
+        node.start();
+        if (index < mNodes.size()) {
+            mNodes.set(index, node);
+        } else {
+            mNodes.add(node);
+        }
+    }
+
+    /** Waits until every node is ready. */
+    public void awaitReady() throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
+        while (!mNodes.stream().allMatch(Node::isReady)) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new SesamepinException(Step.START, "fleet", "not ready in time");
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    private static void run(StandInServer server) throws Exception {
+        Waiting.get(server.start(), START_TIMEOUT_MS);
+    }
+
+    private int enginePort(int index) {
+        return mPort + 10 + index;
+    }
+
+    private NodeSettings settings(int index) throws SesamepinException {
+        int port = mPort + 100 + 10 * index;
+        String publicKey =
+                Base64.getEncoder().encodeToString(mOperatorKey.getPublic().getEncoded());
+        String text =
+                String.join(
+                        "\n",
+                        "[node]",
+                        "host = entry-" + index,
+                        "failure_domain = " + DOMAINS[index % DOMAINS.length],
+                        "caller_address = " + HOST + ":" + port,
+                        "admin_address = " + HOST + ":" + (port + 1),
+                        "peer_address = " + HOST + ":" + (port + 2),
+                        "event_loops = 1",
+                        "drain_ms = 300",
+                        "[store]",
+                        "address = " + HOST + ":" + storePort(),
+                        "[host_list]",
+                        "address = " + HOST + ":" + (mPort + 1),
+                        "[limits]",
+                        "max_body_bytes = 200000",
+                        "read_timeout_ms = 1000",
+                        "[operators]",
+                        OPERATOR + " = " + publicKey,
+                        "");
+        return NodeSettings.parse("demo", text);
+    }
+
+    /** Returns the bundle's text with {@code more} sections behind it, under the next version. */
+    public String bundle(String more) {
+        StringBuilder text = new StringBuilder();
+        text.append("[bundle]\nversion = ").append(mVersion + 1).append('\n');
+        text.append("preference = throughput\n");
+        text.append("[customer outfitter]\nrate = 100\nburst = 100\n");
+        text.append("[customer other]\nrate = 1\nburst = 4\n");
+        text.append("[key demo-key]\ncustomer = outfitter\ndigest = ");
+        text.append(KeyDigest.ofSecret(mKey).hex()).append('\n');
+        text.append("[key other-key]\ncustomer = other\ndigest = ");
+        text.append(KeyDigest.ofSecret(mOtherKey).hex()).append('\n');
+        text.append("[model modelo-carga]\nprogress_timeout_ms = 1000\n");
+        for (int i = 0; i < ENGINES; i++) {
+            text.append("[target carga-").append(i).append("]\nmodel = modelo-carga\n");
+            text.append("address = ").append(HOST).append(':').append(enginePort(i)).append('\n');
+            text.append("failure_domain = ").append(DOMAINS[i]).append('\n');
+            text.append("slots = ").append(SLOTS).append('\n');
+        }
+        text.append("[target recuas-0]\nservice = app-recuas\naddress = ");
+        text.append(HOST).append(':').append(mPort + 2).append("\nslots = 64\n");
+        text.append("[route bookings]\npath = /bookings\nmethods = POST\n");
+        text.append("service = app-recuas\nidempotent = false\ntimeout_ms = 2000\n");
+        text.append("[route catalogue]\npath = /catalogue/*\nmethods = GET\n");
+        text.append("service = app-recuas\nopen = true\nidempotent = true\n");
+        return text.append(more).toString();
+    }
+
+    /** Signs and rolls a bundle's text. */
+    public void roll(String text) throws Exception {
+        String privateKey =
+                Base64.getEncoder().encodeToString(mOperatorKey.getPrivate().getEncoded());
+        SignedBundle signed = SignedBundle.sign(text, OPERATOR, privateKey);
+        String address = HOST + ":" + storePort();
+        PluginRegistry plugins = PluginRegistry.load();
+        try (PlatformStore store =
+                plugins.store("etcd").open(mVertx, address, StoreOption.TIMEOUT_MS)) {
+            mVersion = new BundleRoll(store).roll(signed).version();
+        }
+    }
+
+    /** Returns the callers' address of a node. */
+    public String caller(int node) {
+        return "http://" + HOST + ":" + (mPort + 100 + 10 * node);
+    }
+
+    public Node node(int index) {
+        return mNodes.get(index);
+    }
+
+    public StoreStandIn store() {
+        return mStore;
+    }
+
+    /** Returns the address of a stand-in engine. */
+    public String engine(int index) {
+        return "http://" + mEngines.get(index).address();
+    }
+
+    /** Returns the address of the stand-in service. */
+    public String service() {
+        return "http://" + mService.address();
+    }
+
+    /** Returns the address of the stand-in store. */
+    public String storeAddress() {
+        return mStore.address();
+    }
+
+    /** Returns the address of the stand-in host list. */
+    public String hostList() {
+        return "http://" + HOST + ":" + (mPort + 1);
+    }
+
+    /** Returns the key of the customer with a large rate. */
+    public String key() {
+        return mKey;
+    }
+
+    /** Returns the key of the customer with a small rate. */
+    public String otherKey() {
+        return mOtherKey;
+    }
+
+    /** Prints how to try the fleet by hand. */
+    void describe(Output out) {
+        out.line("");
+        out.line("The fleet stays up. Try:");
+        out.line("  KEY=" + mKey);
+        out.line(
+                "  curl -N "
+                        + caller(0)
+                        + "/v1/completions -H \"Authorization: Bearer $KEY\" -d"
+                        + " '{\"model\":\"modelo-carga\",\"prompt\":\"hola\",\"stream\":true}'");
+        out.line(
+                "  curl "
+                        + caller(1)
+                        + "/bookings -H \"Authorization: Bearer $KEY\" -H 'Idempotency-Key: b1' -d"
+                        + " '{\"mules\":3}'");
+        out.line("  curl " + caller(2) + "/catalogue/mules");
+        out.line("  sesamepin status --store " + storeAddress());
+        out.line("End it with Ctrl-C.");
+    }
+
+    @Override
+    public void close() throws Exception {
+        mCloser.close();
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Main.java
@@ -0,0 +1,93 @@
+package org.sesamepin.cli;
+
+import java.util.List;
+import joptsimple.OptionException;
+import org.sesamepin.core.error.SesamepinException;
+
+/** Entry point of the binary. Exit codes: 0 done, 1 refused or failed, 2 wrong usage. */
+public final class Main {
+    /** Done. */
+    static final int OK = 0;
+
+    /** Refused or failed. */
+    static final int FAILED = 1;
+
+    /** The command's words are not understood. */
+    static final int USAGE = 2;
+
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new NodeCommand(),
+                    new OperatorCommand(),
+                    new BundleCommand(),
+                    new KeyCommand(),
+                    new StatusCommand(),
+                    new UsageCommand(),
+                    new DemoCommand(),
+                    new StandInCommand(),
+                    new ReferenceCommand());
+
+    private Main() {}
+
+    /** Runs one subcommand and exits with its code. */
+    public static void main(String[] args) {
+        System.exit(run(List.of(args), new Output(System.out)));
+    }
+
+    /** Runs one subcommand and returns its exit code. */
+    static int run(List<String> args, Output out) {
+        String name = args.isEmpty() ? "--help" : args.get(0);
+        if (name.equals("--help") || name.equals("help") || name.equals("-h")) {
+            help(out);
+            return args.isEmpty() ? USAGE : OK;
+        }
+        if (name.equals("--version")) {
+            out.line("sesamepin " + version());
+            return OK;
+        }
+        for (Command command : COMMANDS) {
+            if (command.name().equals(name)) {
+                return run(command, args.subList(1, args.size()), out);
+            }
+        }
+        System.err.println("sesamepin: no command '" + name + "'; see sesamepin --help");
+        return USAGE;
+    }
+
+    private static int run(Command command, List<String> args, Output out) {
+        try {
+            return command.run(args, out);
+        } catch (UsageException | OptionException e) {
+            System.err.println("sesamepin " + command.name() + ": " + e.getMessage());
+            System.err.println("see sesamepin " + command.name() + " --help");
+            return USAGE;
+        } catch (SesamepinException e) {
+            System.err.println("sesamepin " + command.name() + ": " + e.getMessage());
+            return FAILED;
+        } catch (Exception e) {
+            Throwable cause = e.getCause() instanceof SesamepinException known ? known : e;
+            System.err.println("sesamepin " + command.name() + ": " + cause);
+            return FAILED;
+        }
+    }
+
+    private static void help(Output out) {
+        out.line("Usage: sesamepin COMMAND [OPTION ...]");
+        out.line("");
+        out.line("Serves online and batch inference on one fleet.");
+        out.line("");
+        for (Command command : COMMANDS) {
+            out.line(String.format("  %-10s %s", command.name(), command.summary()));
+        }
+        out.line("");
+        out.line("  --help     this text; COMMAND --help tells a command's options");
+        out.line("  --version  the version");
+        out.line("");
+        out.line("Exit codes: 0 done, 1 refused or failed, 2 wrong usage.");
+    }
+
+    static String version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        return version == null ? "development" : version;
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/NodeCommand.java
@@ -0,0 +1,81 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import joptsimple.OptionSpec;
+import org.sesamepin.node.Node;
+import org.sesamepin.node.settings.NodeSettings;
+
+/** {@code sesamepin node}: the daemon. */
+final class NodeCommand implements Command {
+    private static final int EXTRA_LOOPS = 2;
+    private static final long STOP_MARGIN_MS = 10_000;
+
+    @Override
+    public String name() {
+        return "node";
+    }
+
+    @Override
+    public String summary() {
+        return "runs the daemon of one entry host";
+    }
+
+    @Override
+    public int run(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("node --config FILE [--check]");
+        OptionSpec<String> config =
+                arguments
+                        .parser()
+                        .accepts("config", "settings of this node, INI")
+                        .withRequiredArg()
+                        .required();
+        OptionSpec<Void> check =
+                arguments.parser().accepts("check", "only checks the settings and ends");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        NodeSettings settings = NodeSettings.load(Path.of(arguments.get(config)));
+        if (arguments.has(check)) {
+            out.line("ok");
+            return Main.OK;
+        }
+        Logging.configure(settings.logFormat(), settings.logLevel());
+        serve(settings);
+        return Main.OK;
+    }
+
+    private static void serve(NodeSettings settings) throws Exception {
+        int loops = settings.eventLoops() + EXTRA_LOOPS;
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(loops));
+        Node node = new Node(vertx, settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread hook = new Thread(() -> stop(vertx, node, settings, stopped), "stop");
+        try {
+            node.start();
+        } catch (Exception e) {
+            vertx.close();
+            throw e;
+        }
+        Runtime.getRuntime().addShutdownHook(hook);
+        stopped.await();
+    }
+
+    private static void stop(
+            Vertx vertx, Node node, NodeSettings settings, CountDownLatch stopped) {
+        try {
+            long longest = settings.drainMs() + settings.stopTimeoutMs() + STOP_MARGIN_MS;
+            Waiting.get(node.stop(), longest);
+            node.close();
+            vertx.close().toCompletionStage().toCompletableFuture().get(2, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            System.err.println("sesamepin node: " + e);
+        } finally {
+            stopped.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/StandInCommand.java
@@ -0,0 +1,97 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionSpec;
+import org.sesamepin.core.config.PropertyDescriptor;
+import org.sesamepin.node.settings.LogFormat;
+import org.sesamepin.standin.StandInServer;
+import org.sesamepin.standin.engine.EngineSettings;
+import org.sesamepin.standin.engine.EngineStandIn;
+import org.sesamepin.standin.hostlist.HostListStandIn;
+import org.sesamepin.standin.service.ServiceStandIn;
+import org.sesamepin.standin.store.StoreStandIn;
+
+/** {@code sesamepin stand-in}: one of the systems that a fleet meets, for trials. */
+final class StandInCommand implements Command {
+    private static final long START_TIMEOUT_MS = 10_000;
+
+    @Override
+    public String name() {
+        return "stand-in";
+    }
+
+    @Override
+    public String summary() {
+        return "store, engine, service or host-list, for trials";
+    }
+
+    @Override
+    public int run(List<String> args, Output out) throws Exception {
+        Arguments arguments =
+                new Arguments("stand-in store|engine|service|host-list --address IP:PORT ...");
+        OptionSpec<String> address =
+                arguments
+                        .parser()
+                        .accepts("address", "where it listens")
+                        .withRequiredArg()
+                        .required();
+        OptionSpec<String> name =
+                arguments
+                        .parser()
+                        .accepts("name", "model of an engine, or name of a service")
+                        .withRequiredArg()
+                        .defaultsTo("example");
+        OptionSpec<Integer> slots = number(arguments, "slots", "slots of an engine", 8);
+        OptionSpec<Integer> tokenMs =
+                number(arguments, "token-ms", "time of a token, milliseconds", 20);
+        OptionSpec<Integer> kvTokens =
+                number(arguments, "kv-tokens", "tokens in an engine's KV cache", 65_536);
+        OptionSpec<Integer> lagMs =
+                number(arguments, "lag-ms", "lag of reports and lists, milliseconds", 500);
+        OptionSpec<Integer> delayMs =
+                number(arguments, "delay-ms", "time of a service's answer, milliseconds", 5);
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        Logging.configure(LogFormat.TEXT, "info");
+        InetSocketAddress at = PropertyDescriptor.parseAddress(arguments.get(address));
+        Vertx vertx = Vertx.vertx();
+        String kind = arguments.words(1).get(0);
+        StandInServer server =
+                switch (kind) {
+                    case "store" -> new StoreStandIn(vertx, at);
+                    case "engine" ->
+                            new EngineStandIn(
+                                    vertx,
+                                    at,
+                                    new EngineSettings(
+                                            arguments.get(name),
+                                            arguments.get(slots),
+                                            arguments.get(tokenMs),
+                                            arguments.get(kvTokens),
+                                            arguments.get(lagMs)));
+                    case "service" ->
+                            new ServiceStandIn(
+                                    vertx, at, arguments.get(name), arguments.get(delayMs));
+                    case "host-list" -> new HostListStandIn(vertx, at, arguments.get(lagMs));
+                    default -> throw new UsageException("no stand-in '" + kind + "'");
+                };
+        Waiting.get(server.start(), START_TIMEOUT_MS);
+        out.line(kind + " listens on " + server.address());
+        new CountDownLatch(1).await();
+        return Main.OK;
+    }
+
+    private static OptionSpec<Integer> number(
+            Arguments arguments, String name, String what, int standard) {
+        return arguments
+                .parser()
+                .accepts(name, what)
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(standard);
+    }
+}
--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/StatusCommand.java
@@ -0,0 +1,84 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import joptsimple.OptionSpec;
+import org.sesamepin.node.fleet.Head;
+import org.sesamepin.node.fleet.HostRecord;
+import org.sesamepin.node.spi.PlatformStore;
+
+/** {@code sesamepin status}: which version is in force on which host. */
+final class StatusCommand implements Command {
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String summary() {
+        return "which version is in force on which host, and who is behind";
+    }
+
+    @Override
+    public int run(List<String> args, Output out) throws Exception {
+        Arguments arguments = new Arguments("status --store ADDRESS [--watch] [--json]");
+        StoreOption store = new StoreOption(arguments);
+        OptionSpec<Void> json = arguments.parser().accepts("json", "prints JSON");
+        OptionSpec<Void> watch = arguments.parser().accepts("watch", "prints again each second");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        Vertx vertx = Vertx.vertx();
+        try (PlatformStore client = store.open(vertx, arguments)) {
+            BundleRoll roll = new BundleRoll(client);
+            while (true) {
+                int code = print(roll, arguments.has(json), out);
+                if (!arguments.has(watch)) {
+                    return code;
+                }
+                TimeUnit.SECONDS.sleep(1);
+            }
+        } finally {
+            vertx.close();
+        }
+    }
+
+    /** Prints the state; the exit code tells whether the version is in force on all live hosts. */
+    private static int print(BundleRoll roll, boolean json, Output out) throws Exception {
+        Head head = roll.head();
+        long version = head == null ? 0 : head.version();
+        List<HostRecord> hosts = roll.hosts();
+        long inForce = hosts.stream().filter(h -> h.inForce() == version).count();
+        if (json) {
+            JsonArray list = new JsonArray();
+            hosts.forEach(h -> list.add(new JsonObject(h.toJson())));
+            out.line(
+                    new JsonObject()
+                            .put("version", version)
+                            .put("in_force", inForce)
+                            .put("hosts", list)
+                            .encode());
+        } else {
+            out.line("version " + version + " in force on " + inForce + " of " + hosts.size());
+            List<List<String>> rows = new ArrayList<>();
+            for (HostRecord host : hosts) {
+                rows.add(
+                        List.of(
+                                host.host(),
+                                host.failureDomain(),
+                                Long.toString(host.inForce()),
+                                host.leaving() ? "leaving" : "live",
+                                host.adminAddress(),
+                                host.refused()));
+            }
+            out.table(
+                    List.of("HOST", "FAILURE DOMAIN", "VERSION", "STATE", "ADMIN", "REFUSED"),
+                    rows);
+        }
+        return inForce == hosts.size() ? Main.OK : Main.FAILED;
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -0,0 +1,426 @@
+package org.sesamepin.node;
+
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.lifecycle.Closer;
+import org.sesamepin.core.limit.BlockPolicy;
+import org.sesamepin.core.limit.Delegations;
+import org.sesamepin.core.limit.Delegator;
+import org.sesamepin.core.membership.FleetTiming;
+import org.sesamepin.core.membership.Tenure;
+import org.sesamepin.core.routing.RoutingPolicy;
+import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.admin.AdminServer;
+import org.sesamepin.node.admin.NodeMetrics;
+import org.sesamepin.node.batch.BatchApi;
+import org.sesamepin.node.batch.BatchRunner;
+import org.sesamepin.node.batch.JobService;
+import org.sesamepin.node.batch.JobStore;
+import org.sesamepin.node.fleet.BundleKeeper;
+import org.sesamepin.node.fleet.FleetView;
+import org.sesamepin.node.fleet.Heartbeats;
+import org.sesamepin.node.fleet.HostRecord;
+import org.sesamepin.node.fleet.KeyFreshness;
+import org.sesamepin.node.fleet.StorePoller;
+import org.sesamepin.node.limit.RateLimiter;
+import org.sesamepin.node.online.Authenticator;
+import org.sesamepin.node.online.CallerServer;
+import org.sesamepin.node.online.IntentLog;
+import org.sesamepin.node.online.OnlineContext;
+import org.sesamepin.node.online.SessionRegistry;
+import org.sesamepin.node.online.TargetChooser;
+import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.peer.PeerServer;
+import org.sesamepin.node.peer.generated.HostState;
+import org.sesamepin.node.settings.NodeSettings;
+import org.sesamepin.node.slot.SlotService;
+import org.sesamepin.node.slot.TargetHealth;
+import org.sesamepin.node.spi.HostList;
+import org.sesamepin.node.spi.PlatformStore;
+import org.sesamepin.node.spi.PluginRegistry;
+import org.sesamepin.node.target.TargetClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One node: puts the parts together, starts them and stops them without cutting a request. */
+public final class Node implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final long START_TIMEOUT_SECONDS = 20;
+    private static final long HOST_LIST_MS = 1_000;
+    private static final long STOP_CHECK_MS = 50;
+
+    private final Vertx mVertx;
+    private final NodeSettings mSettings;
+    private final Ticker mTicker = Ticker.SYSTEM;
+    private final long mIncarnation = System.currentTimeMillis();
+    private final Closer mCloser = new Closer();
+    private final NodeMetrics mMetrics = new NodeMetrics();
+    private final PluginRegistry mPlugins = PluginRegistry.load();
+    private final TargetHealth mHealth;
+    private final SessionRegistry mSessions = new SessionRegistry();
+    private final Tenure mTenure;
+    private final Delegator mDelegator;
+    private final Delegations mDelegations;
+    private final FleetView mFleet;
+    private final PlatformStore mStore;
+    private final BundleKeeper mBundles;
+    private final KeyFreshness mFreshness;
+    private final PeerClient mPeers;
+    private final RateLimiter mLimiter;
+    private final SlotService mSlots;
+    private final TargetChooser mChooser;
+    private final BatchRunner mRunner;
+    private final JobService mJobs;
+    private final StorePoller mPoller;
+    private final OnlineContext mOnline;
+    private final BatchApi mBatchApi;
+
+    /** Creates a node; nothing is started yet. */
+    public Node(Vertx vertx, NodeSettings settings) throws SesamepinException {
+        mVertx = vertx;
+        mSettings = settings;
+        FleetTiming timing = FleetTiming.STANDARD;
+        String self = settings.host();
+        mHealth = new TargetHealth(mTicker);
+        mTenure = new Tenure(self, timing, mTicker);
+        mDelegator = new Delegator(mTenure, timing, mTicker);
+        mDelegations = new Delegations(self, timing);
+        mFleet = new FleetView(self, settings.seeds(), mTicker);
+        PluginRegistry.StoreFactory stores = mPlugins.store(settings.storeKind());
+        mStore =
+                mCloser.add(stores.open(vertx, settings.storeAddress(), settings.storeTimeoutMs()));
+        mBundles = new BundleKeeper(settings.operators(), mStore, settings.dataFolder(), mTicker);
+        mFreshness = new KeyFreshness(mBundles, mFleet, mTenure);
+        mPeers = mCloser.add(new PeerClient(vertx));
+        mLimiter = limiter(timing);
+        mSlots = mCloser.add(new SlotService(vertx, mTicker, mFleet, mBundles, mPeers, mHealth));
+        mChooser =
+                new TargetChooser(
+                        mFleet,
+                        mSlots,
+                        mHealth,
+                        RoutingPolicy.TWO_CHOICES,
+                        settings.failureDomain());
+        TargetClient client = mCloser.add(new TargetClient(vertx));
+        mRunner =
+                mCloser.add(
+                        new BatchRunner(
+                                vertx, mTicker, mFleet, mBundles, mSlots, mHealth, client, mPeers,
+                                mPlugins, mMetrics));
+        JobStore jobStore = new JobStore(mStore);
+        mJobs =
+                mCloser.add(
+                        new JobService(
+                                vertx, mTicker, jobStore, mFleet, mBundles, mPeers, mLimiter,
+                                mMetrics, mRunner));
+        mPoller =
+                mCloser.add(
+                        new StorePoller(
+                                vertx, mStore, mTicker, mTenure, mFleet, mBundles, this::record));
+        mOnline = online(client);
+        mBatchApi = batchApi(jobStore);
+    }
+
+    private OnlineContext online(TargetClient client) {
+        return new OnlineContext(
+                mVertx,
+                mSettings.limits(),
+                new Authenticator(mBundles, mFreshness),
+                mSessions,
+                mLimiter,
+                mChooser,
+                mSlots,
+                mHealth,
+                client,
+                mPlugins,
+                mMetrics);
+    }
+
+    private BatchApi batchApi(JobStore jobStore) {
+        return new BatchApi(
+                mVertx,
+                mStore,
+                jobStore,
+                mJobs,
+                mFleet,
+                mPeers,
+                mOnline.authenticator(),
+                mLimiter,
+                mSettings.limits(),
+                mMetrics);
+    }
+
+    private RateLimiter limiter(FleetTiming timing) {
+        return new RateLimiter(
+                mVertx,
+                mTicker,
+                timing,
+                BlockPolicy.ADAPTIVE_BLOCK,
+                mBundles,
+                mFleet,
+                mPeers,
+                mDelegations,
+                mDelegator,
+                mSettings.limits().admissionWaitMs());
+    }
+
+    /** Starts all parts; fails when an address is taken. */
+    public void start() throws SesamepinException {
+        mBundles.load();
+        mBundles.onChange(mSessions::enforce);
+        PeerServer server = mCloser.add(new PeerServer(mVertx, mSettings.peerAddress()));
+        Heartbeats heartbeats =
+                mCloser.add(
+                        new Heartbeats(
+                                mVertx,
+                                mPeers,
+                                mTicker,
+                                mFleet,
+                                mTenure,
+                                mDelegator,
+                                mDelegations,
+                                mBundles,
+                                this::state,
+                                this::afterHeartbeats));
+        heartbeats.register(server);
+        mLimiter.register(server);
+        mSlots.register(server);
+        mJobs.register(server);
+        AdminServer admin =
+                mCloser.add(
+                        new AdminServer(
+                                mVertx,
+                                mSettings.adminAddress(),
+                                mMetrics,
+                                this::unreadyReason,
+                                this::status));
+        registerGauges();
+        IntentLog intents = new IntentLog(mVertx, mStore);
+        Future<String> callers =
+                mVertx.deployVerticle(
+                        () ->
+                                new CallerServer(
+                                        mSettings.callerAddress(),
+                                        mOnline,
+                                        mBundles,
+                                        intents,
+                                        mBatchApi),
+                        new DeploymentOptions().setInstances(mSettings.eventLoops()));
+        await(Future.all(server.start(), admin.start(), callers));
+        mCloser.add(() -> await(mVertx.undeploy(callers.result())));
+        mPoller.start();
+        heartbeats.start();
+        mSlots.start(mRunner::preempt);
+        mRunner.start(mJobs);
+        mJobs.start();
+        watchHostList();
+        LOG.info(
+                "step=start host={} failure_domain={} callers={}",
+                mSettings.host(),
+                mSettings.failureDomain(),
+                NodeSettings.text(mSettings.callerAddress()));
+    }
+
+    private void await(Future<?> future) throws SesamepinException {
+        try {
+            future.toCompletionStage()
+                    .toCompletableFuture()
+                    .get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw startFailed(e);
+        } catch (Exception e) {
+            throw startFailed(e);
+        }
+    }
+
+    private SesamepinException startFailed(Exception e) {
+        return new SesamepinException(
+                org.sesamepin.core.error.Step.START,
+                mSettings.host(),
+                org.sesamepin.core.error.Execution.NOT_RUN,
+                "cannot start or stop a listener: " + e,
+                e);
+    }
+
+    private void watchHostList() throws SesamepinException {
+        if (mSettings.hostListAddress().isEmpty()) {
+            return;
+        }
+        PluginRegistry.HostListFactory factory = mPlugins.hostList(mSettings.hostListKind());
+        HostList list =
+                mCloser.add(
+                        factory.open(
+                                mVertx, mSettings.hostListAddress(), mSettings.storeTimeoutMs()));
+        long timer =
+                mVertx.setPeriodic(0, HOST_LIST_MS, t -> list.read().onSuccess(this::hostsListed));
+        mCloser.add(() -> mVertx.cancelTimer(timer));
+    }
+
+    private void hostsListed(Map<String, HostList.State> hosts) {
+        Set<String> leaving =
+                hosts.entrySet().stream()
+                        .filter(e -> e.getValue() == HostList.State.LEAVING)
+                        .map(Map.Entry::getKey)
+                        .collect(Collectors.toSet());
+        mHealth.setLeaving(leaving);
+        if (hosts.containsKey(mSettings.host())) {
+            Set<String> gone =
+                    mTenure.assignment().hosts().stream()
+                            .filter(h -> !hosts.containsKey(h))
+                            .collect(Collectors.toSet());
+            mTenure.setGone(gone);
+        }
+    }
+
+    private void afterHeartbeats() {
+        mLimiter.refresh();
+        mChooser.loadsRefreshed();
+    }
+
+    private HostState state() {
+        HostState state = new HostState();
+        state.setHost(mSettings.host());
+        state.setIncarnation(mIncarnation);
+        state.setEpoch(mTenure.assignment().epoch());
+        state.setReleasedEpoch(mTenure.releasedEpoch());
+        state.setSettled(mTenure.isSettled());
+        state.setBundleVersion(mBundles.current().version());
+        state.setHeadAgeMs(mBundles.headAgeMs());
+        state.setDraining(mFleet.isDraining());
+        state.setView(mFleet.view());
+        state.setTargets(mSlots.loads());
+        state.setPendingItems(mJobs.pendingItems());
+        state.setPeerAddress(NodeSettings.text(mSettings.peerAddress()));
+        return state;
+    }
+
+    private HostRecord record(boolean leaving) {
+        return new HostRecord(
+                mSettings.host(),
+                mIncarnation,
+                mSettings.failureDomain(),
+                mSettings.weight(),
+                NodeSettings.text(mSettings.peerAddress()),
+                NodeSettings.text(mSettings.adminAddress()),
+                NodeSettings.text(mSettings.callerAddress()),
+                mBundles.current().version(),
+                leaving,
+                mBundles.refused());
+    }
+
+    private String unreadyReason() {
+        if (mFleet.isDraining()) {
+            return "stopping";
+        }
+        if (mBundles.current().version() == 0) {
+            return "no bundle in force";
+        }
+        if (!mFreshness.isFresh()) {
+            return "cut off from the store and from most peers";
+        }
+        return mTenure.fraction() > 0 ? "" : "waiting for a share of the customers' rates";
+    }
+
+    private void registerGauges() {
+        mMetrics.gauge(
+                "sesamepin_bundle_version",
+                "Bundle version in force.",
+                () -> mBundles.current().version());
+        mMetrics.gauge(
+                "sesamepin_head_age_seconds",
+                "Age of the last confirmation by the store.",
+                () -> mBundles.headAgeMs() / 1_000.0);
+        mMetrics.gauge("sesamepin_live_hosts", "Hosts in the view.", () -> mFleet.view().size());
+        mMetrics.gauge("sesamepin_rate_share", "Own share of the rates.", mTenure::fraction);
+        mMetrics.gauge("sesamepin_batch_running", "Batch items that run.", mRunner::running);
+        mMetrics.gauge("sesamepin_jobs_owned", "Jobs owned.", mJobs::ownedJobs);
+        mMetrics.gauge("sesamepin_requests_running", "Online requests.", mSessions::size);
+    }
+
+    /** Returns what the node says of itself to operators. */
+    public JsonObject status() {
+        JsonArray peers = new JsonArray();
+        for (HostState peer : mFleet.livePeers()) {
+            peers.add(
+                    new JsonObject()
+                            .put("host", peer.getHost())
+                            .put("version", peer.getBundleVersion())
+                            .put("epoch", peer.getEpoch()));
+        }
+        List<JsonObject> targets =
+                mSlots.loads().stream()
+                        .map(
+                                load ->
+                                        new JsonObject()
+                                                .put("target", load.getTarget())
+                                                .put("free", load.getFreeSlots())
+                                                .put("batch", load.getBatchRunning())
+                                                .put("queued", load.getQueued())
+                                                .put("failing", load.isFailing()))
+                        .toList();
+        return new JsonObject()
+                .put("host", mSettings.host())
+                .put("unready", unreadyReason())
+                .put("version", mBundles.current().version())
+                .put("refused", mBundles.refused())
+                .put("epoch", mTenure.assignment().epoch())
+                .put("settled", mTenure.isSettled())
+                .put("share", mTenure.fraction())
+                .put("store_reachable", mPoller.isStoreReachable())
+                .put("head_age_ms", mBundles.headAgeMs())
+                .put("view", new JsonArray(mFleet.view()))
+                .put("peers", peers)
+                .put("targets_owned", new JsonArray(targets))
+                .put("jobs_owned", mJobs.ownedJobs())
+                .put("batch_running", mRunner.running())
+                .put("requests_running", mSessions.size());
+    }
+
+    /** Tells whether the node is ready to serve. */
+    public boolean isReady() {
+        return unreadyReason().isEmpty();
+    }
+
+    /**
+     * Stops without cutting a request: hands its parts to the others, goes on accepting while the
+     * balancer still sends requests, waits for those that run, and leaves.
+     */
+    public Future<Void> stop() {
+        LOG.info("step=stop host={} draining=true", mSettings.host());
+        mFleet.drain();
+        mPoller.announceLeaving();
+        mRunner.stop();
+        long deadline =
+                mTicker.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mSettings.stopTimeoutMs());
+        return mJobs.stop()
+                .compose(v -> mVertx.timer(Math.max(1, mSettings.drainMs()), TimeUnit.MILLISECONDS))
+                .compose(v -> awaitSessions(deadline))
+                .compose(v -> mPoller.leave())
+                .onComplete(v -> LOG.info("step=stop host={} left=true", mSettings.host()));
+    }
+
+    private Future<Void> awaitSessions(long deadline) {
+        boolean late = mTicker.nanoTime() - deadline > 0;
+        if (mSessions.size() == 0 || late) {
+            return Future.succeededFuture();
+        }
+        return mVertx.timer(STOP_CHECK_MS, TimeUnit.MILLISECONDS)
+                .compose(v -> awaitSessions(deadline));
+    }
+
+    /** Closes everything at once; {@link #stop} first lets requests end. */
+    @Override
+    public void close() throws Exception {
+        mCloser.close();
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/slot/SlotService.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/slot/SlotService.java
@@ -178,6 +178,11 @@
         }
     }
 
+    /** Gives a slot back that a batch item of this host had. */
+    public void releaseBatch(Target target, long slotId) {
+        carryOut(target.name(), ledger(target).release(slotId, mTicker.nanoTime()));
+    }
+
     private Future<SlotLease> localShare(Target target) {
         int hosts = Math.max(1, mFleet.view().size());
         int share = Math.max(1, target.slots() / hosts);
