Let schedules rest until a burst is full before they send it

Cause: a customer that always sends more than its rate keeps its buckets empty, so tokens counted twice did not show: with the wait for a former coordinator taken out, all schedules still passed. Change: the load now and then rests until the burst is full and sends it at once.

--- a/sesamepin-core/src/test/java/org/sesamepin/core/fleet/RateScheduleTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/fleet/RateScheduleTest.java
@@ -112,6 +112,20 @@
         fleet.request(host, customer);
         double mean = SECOND / (customer.rate() * factor);
         long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * mean);
+        // Now and then the customer rests until its burst is full again, then sends it at once:
+        // a bucket that held back nothing would show only then.
+        if (fleet.random().nextInt((int) (3 * customer.burst())) == 0) {
+            gap = (long) (customer.burst() / customer.rate() * SECOND * 1.2);
+            sendAtOnce(fleet, customer, fleet.now() + gap);
+        }
         fleet.at(fleet.now() + gap + 1, () -> arrive(fleet, customer, factor));
     }
+
+    private static void sendAtOnce(FleetSimulation fleet, Customer customer, long at) {
+        List<String> hosts = new ArrayList<>(fleet.hostNames());
+        for (int i = 0; i < 2 * customer.burst(); i++) {
+            String host = hosts.get(i % hosts.size());
+            fleet.at(at + i * MS, () -> fleet.request(host, customer));
+        }
+    }
 }
