Report spent tokens within 50 ms, so that refills are not held back

Cause: a coordinator counts a granted block against the burst until it ends or its holder reports it; after a burst that held the refill back for up to 0.5 s. Ruled out: lost messages, since the loss stayed at 0.2% to 0.7% without any. Change: blocks live 250 ms, holders report spent blocks and return unused ends every 50 ms.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/BlockCache.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/BlockCache.java
@@ -11,7 +11,7 @@
  */
 public final class BlockCache {
     /** Time before a block's end at which what is left of it goes back, nanoseconds. */
-    private static final long RETURN_AHEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    private static final long RETURN_AHEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /**
      * A block that this host spends nothing from any more.
--- a/sesamepin-core/src/main/java/org/sesamepin/core/membership/FleetTiming.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/membership/FleetTiming.java
@@ -19,7 +19,7 @@
             new FleetTiming(
                     TimeUnit.MILLISECONDS.toNanos(2_400),
                     TimeUnit.MILLISECONDS.toNanos(1_000),
-                    TimeUnit.MILLISECONDS.toNanos(500));
+                    TimeUnit.MILLISECONDS.toNanos(250));
 
     /** Returns how long the granting side waits for {@code nanos} to end at the using side. */
     public static long withMargin(long nanos) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -101,7 +101,7 @@
         mBundles = new BundleKeeper(settings.operators(), mStore, settings.dataFolder(), mTicker);
         mFreshness = new KeyFreshness(mBundles, mFleet, mTenure);
         mPeers = mCloser.add(new PeerClient(vertx));
-        mLimiter = limiter(timing);
+        mLimiter = mCloser.add(limiter(timing));
         mSlots = mCloser.add(new SlotService(vertx, mTicker, mFleet, mBundles, mPeers, mHealth));
         mChooser =
                 new TargetChooser(
@@ -219,6 +219,7 @@
         mCloser.add(() -> await(mVertx.undeploy(callers.result())));
         mPoller.start();
         heartbeats.start();
+        mLimiter.start();
         mSlots.start(mRunner::preempt);
         mRunner.start(mJobs);
         mJobs.start();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/limit/RateLimiter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/limit/RateLimiter.java
@@ -32,9 +32,10 @@
  * customer has one coordinator; other hosts ask it for blocks of tokens. While no coordinator can
  * be asked, a request waits a short time or runs from this host's own share.
  */
-public final class RateLimiter {
+public final class RateLimiter implements AutoCloseable {
     private static final long ASK_TIMEOUT_MS = 300;
     private static final long RETRY_MS = 40;
+    private static final long SWEEP_MS = 50;
     private static final long REFUSAL_CACHE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final double ENOUGH_SHARES = 0.5;
 
@@ -65,6 +66,7 @@
     private final long mWaitNanos;
     private final AtomicLong mBlockIds;
     private final Map<String, Entry> mEntries = new ConcurrentHashMap<>();
+    private long mSweepTimer;
 
     /** Creates a limiter whose requests wait up to {@code waitMs} for a coordinator. */
     public RateLimiter(
@@ -280,16 +282,29 @@
         return mDelegations.heldThroughout(customer, now, now) >= ENOUGH_SHARES;
     }
 
-    /** Brings refills up to date and sends unused blocks back; runs with each heartbeat. */
+    /** Brings refills up to date; runs with each heartbeat. */
     public void refresh() {
         long now = mTicker.nanoTime();
         for (Customer customer : mBundles.current().customers().values()) {
-            Entry entry = entry(customer.name(), now);
-            entry.mLimit.refresh(customer, now);
-            giveBack(customer.name(), entry, now);
+            entry(customer.name(), now).mLimit.refresh(customer, now);
         }
     }
 
+    /** Starts reporting spent blocks and giving back the unused part of ending ones. */
+    public void start() {
+        mSweepTimer = mVertx.setPeriodic(SWEEP_MS, t -> sweep());
+    }
+
+    private void sweep() {
+        long now = mTicker.nanoTime();
+        mEntries.forEach((customer, entry) -> giveBack(customer, entry, now));
+    }
+
+    @Override
+    public void close() {
+        mVertx.cancelTimer(mSweepTimer);
+    }
+
     private void giveBack(String customer, Entry entry, long now) {
         for (BlockCache.Closed block : entry.mLimit.closedBlocks(now)) {
             String address = mFleet.addressOf(block.coordinator());
