--- /dev/null
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/ShareBucketProperties.java
@@ -0,0 +1,70 @@
+package org.sesamepin.core.limit;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Properties of one bucket over random sequences of takes, grants, closes and waits. */
+class ShareBucketProperties {
+    private static final long MS = 1_000_000L;
+    private static final double RATE = 20;
+    private static final double BURST = 8;
+
+    /** Tokens taken and granted in any run never exceed rate * t + burst. */
+    @Property(tries = 500, seed = "7")
+    void neverHandsOutMoreThanRateAndBurst(
+            @ForAll @Size(min = 1, max = 80) List<@IntRange(min = 0, max = 399) Integer> steps) {
+        ShareBucket bucket = new ShareBucket((since, now) -> 1, 0);
+        Deque<Long> open = new ArrayDeque<>();
+        long now = 0;
+        long id = 0;
+        double level = BURST;
+        for (int step : steps) {
+            double out = 0;
+            switch (step % 4) {
+                case 0 -> out = bucket.take(1, RATE, BURST, now) ? 1 : 0;
+                case 1 -> {
+                    id++;
+                    out = bucket.grant(id, step / 40, 1, now + 250 * MS, RATE, BURST, now);
+                    open.add(id);
+                }
+                case 2 -> {
+                    if (!open.isEmpty()) {
+                        // Nothing unused: the holder spent it all, which is the worst case.
+                        bucket.close(open.remove(), 0, RATE, BURST, now);
+                    }
+                }
+                default -> {
+                    long wait = (step / 4) * 2L * MS;
+                    now += wait;
+                    level = Math.min(BURST, level + RATE * wait / 1e9);
+                }
+            }
+            level -= out;
+            double seen = level;
+            // A granted block counts as spent when it is granted: the earliest it can be.
+            assertTrue(seen > -1e-6, () -> "handed out " + -seen + " too many");
+        }
+    }
+
+    /** A block closed twice, or after its end, gives nothing back. */
+    @Property(tries = 100, seed = "11")
+    void givesBackAtMostOnce(@ForAll @IntRange(min = 1, max = 8) int tokens) {
+        ShareBucket bucket = new ShareBucket((since, now) -> 1, 0);
+        long full = 2_000 * MS;
+        double granted = bucket.grant(1, tokens, 1, full + 250 * MS, RATE, BURST, full);
+        bucket.close(1, granted, RATE, BURST, full);
+        bucket.close(1, granted, RATE, BURST, full);
+        int taken = 0;
+        while (bucket.take(1, RATE, BURST, full)) {
+            taken++;
+        }
+        assertTrue(taken <= BURST, "took " + taken);
+    }
+}
