--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/DemoFleet.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/DemoFleet.java
@@ -1,13 +1,16 @@
 package org.sesamepin.cli;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.net.InetSocketAddress;
 import java.security.KeyPair;
 import java.security.KeyPairGenerator;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.bundle.SignedBundle;
 import org.sesamepin.core.error.SesamepinException;
@@ -36,6 +39,7 @@
 
     private static final long START_TIMEOUT_MS = 30_000;
     private static final int ENGINES = 3;
+    private static final int LOOPS = 3;
     private static final int SLOTS = 4;
     private static final int KV_TOKENS = 65_536;
     private static final int REPORT_LAG_MS = 200;
@@ -47,6 +51,7 @@
     private final Vertx mVertx = Vertx.vertx();
     private final Closer mCloser = new Closer();
     private final KeyPair mOperatorKey;
+    private final Map<Integer, Vertx> mVertxes = new HashMap<>();
     private final List<Node> mNodes = new ArrayList<>();
     private final List<EngineStandIn> mEngines = new ArrayList<>();
     private final String mKey = KeySecret.generate("demo-key", new SecureRandom());
@@ -94,8 +99,11 @@
 
     /** Starts the node {@code index}. */
     public void startNode(int index) throws Exception {
-        Node node = mCloser.add(new Node(mVertx, settings(index)));
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(LOOPS));
+        mCloser.add(() -> Waiting.get(vertx.close(), START_TIMEOUT_MS));
+        Node node = new Node(vertx, settings(index));
         node.start();
+        mVertxes.put(index, vertx);
         if (index < mNodes.size()) {
             mNodes.set(index, node);
         } else {
@@ -103,6 +111,20 @@
         }
     }
 
+    /** Ends a node's threads and connections without a word, as when its host is lost. */
+    public void killNode(int index) throws Exception {
+        Vertx vertx = mVertxes.remove(index);
+        if (vertx != null) {
+            Waiting.get(vertx.close(), START_TIMEOUT_MS);
+        }
+    }
+
+    /** Stops a node as planned. */
+    public void stopNode(int index) throws Exception {
+        Waiting.get(mNodes.get(index).stop(), START_TIMEOUT_MS);
+        killNode(index);
+    }
+
     /** Waits until every node is ready. */
     public void awaitReady() throws Exception {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
@@ -9,9 +10,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.standin.KeySightings;
@@ -23,9 +26,9 @@
  * cancel by {@code X-Request-Id} or by closing the connection, and resume by {@code Last-Event-ID}.
  *
  * <p>Faults by {@code POST /standin/faults}: {@code die} closes every connection and refuses new
- * calls until {@code none}; {@code silent} stops answering on the connections that are open; {@code
- * crossed} gives the next answer under a wrong request id; {@code poison} dies for a moment
- * whenever a prompt holds the word given.
+ * calls until {@code none}; {@code silent} stops answering on the connections that are open now,
+ * while new ones work; {@code crossed} gives the next answer under a wrong request id; {@code
+ * poison} dies for a moment whenever a prompt holds the word given.
  */
 public final class EngineStandIn extends StandInServer {
     private static final int DEFAULT_TOKENS = 16;
@@ -35,6 +38,8 @@
     private final Deque<Generation> mQueue = new ArrayDeque<>();
     private final List<Generation> mActive = new ArrayList<>();
     private final Map<String, Long> mStarted = new TreeMap<>();
+    private final Set<HttpConnection> mOpen = new HashSet<>();
+    private final Set<HttpConnection> mSilent = new HashSet<>();
     private final KeySightings mKeySightings = new KeySightings();
     private final long mStepTimer;
     private final long mReportTimer;
@@ -61,6 +66,13 @@
     }
 
     private synchronized void handle(HttpServerRequest request, Buffer body) {
+        HttpConnection connection = request.connection();
+        if (mSilent.contains(connection)) {
+            return;
+        }
+        if (mOpen.add(connection)) {
+            connection.closeHandler(v -> forget(connection));
+        }
         switch (request.path()) {
             case "/standin/faults" -> setFault(request, json(body));
             case "/standin/executions" -> answer(request, 200, executions());
@@ -72,6 +84,11 @@
         }
     }
 
+    private synchronized void forget(HttpConnection connection) {
+        mOpen.remove(connection);
+        mSilent.remove(connection);
+    }
+
     private void setFault(HttpServerRequest request, JsonObject fault) {
         mFault = fault.getString("kind", "none");
         mPoison = fault.getString("word", "");
@@ -79,6 +96,10 @@
         if (mFault.equals("die")) {
             dropAll();
         }
+        if (mFault.equals("silent")) {
+            mFault = "none";
+            mSilent.addAll(mOpen);
+        }
     }
 
     private void whenAlive(HttpServerRequest request, Runnable action) {
@@ -86,9 +107,7 @@
             request.connection().close();
             return;
         }
-        if (!mFault.equals("silent")) {
-            action.run();
-        }
+        action.run();
     }
 
     private JsonObject executions() {
@@ -136,7 +155,7 @@
         String requestId = id == null ? "none" : id;
         Generation generation =
                 new Generation(requestId, mSettings.model(), prompt, tokens, stream, chat, from);
-        generation.attach(request.response());
+        generation.attach(request);
         if (from == 0) {
             mExecutions++;
             mStarted.merge(requestId, 1L, Long::sum);
@@ -183,11 +202,14 @@
     private synchronized void step() {
         mSteps++;
         mBusySlotSteps += mActive.size();
-        if (mFault.equals("silent") || mFault.equals("die")) {
+        if (mFault.equals("die")) {
             return;
         }
         for (Iterator<Generation> it = mActive.iterator(); it.hasNext(); ) {
             Generation generation = it.next();
+            if (mSilent.contains(generation.connection())) {
+                continue;
+            }
             boolean last = generation.step();
             deliver(generation, last);
             if (last) {
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/Generation.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/Generation.java
@@ -1,6 +1,8 @@
 package org.sesamepin.standin.engine;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -18,8 +20,8 @@
     private final boolean mStream;
     private final boolean mChat;
     private final long mKvTokens;
-    private final int mFromOffset;
     private int mMade;
+    private @Nullable HttpConnection mConnection;
     private @Nullable HttpServerResponse mResponse;
 
     Generation(
@@ -37,7 +39,6 @@
         mStream = stream;
         mChat = chat;
         mKvTokens = prompt.length() / 4 + tokens;
-        mFromOffset = fromOffset;
         mMade = fromOffset;
     }
 
@@ -57,8 +58,13 @@
         return mMade;
     }
 
-    void attach(HttpServerResponse response) {
-        mResponse = response;
+    void attach(HttpServerRequest request) {
+        mConnection = request.connection();
+        mResponse = request.response();
+    }
+
+    @Nullable HttpConnection connection() {
+        return mConnection;
     }
 
     @Nullable HttpServerResponse response() {
@@ -109,8 +115,4 @@
     private String word(int index) {
         return "w" + index + "-" + mStamp + (index == mTokens - 1 ? "." : " ");
     }
-
-    boolean resumed() {
-        return mFromOffset > 0;
-    }
 }
--- /dev/null
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/ModuleBorderTest.java
@@ -0,0 +1,65 @@
+package org.sesamepin.test;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import org.junit.jupiter.api.Test;
+
+/** Borders between the modules. */
+class ModuleBorderTest {
+    private static final JavaClasses CLASSES =
+            new ClassFileImporter().importPackages("org.sesamepin");
+
+    @Test
+    void decisionsDoNoInputOrOutput() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.sesamepin.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.vertx..", "java.net.http..", "java.nio.file..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void decisionsReadNoClock() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.sesamepin.core..")
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(CLASSES);
+    }
+
+    @Test
+    void nodesKnowPlatformsAndTargetsByTheirInterfacesOnly() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.sesamepin.node..")
+                .and()
+                .resideOutsideOfPackage("org.sesamepin.node.platform..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.sesamepin.node.platform..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void nodesAndStandInsDoNotKnowEachOther() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.sesamepin.node..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.sesamepin.standin..")
+                .check(CLASSES);
+        noClasses()
+                .that()
+                .resideInAPackage("org.sesamepin.standin..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.sesamepin.node..")
+                .check(CLASSES);
+    }
+}
--- /dev/null
+++ b/sesamepin-test/src/test/resources/features/streams.feature
@@ -0,0 +1,27 @@
+Feature: Each caller gets the whole answer to its own request
+  Background:
+    Given a fleet of three nodes
+
+  Scenario Outline: Engines are <fault> with streams in flight
+    When 6 callers begin to stream 100 tokens through node 1
+    And all of them have begun
+    And engine 0 is "<fault>"
+    And engine 1 is "<fault>"
+    Then all of them get the whole 100 tokens
+    Examples:
+      | fault  |
+      | die    |
+      | silent |
+
+  Scenario: An answer that belongs to another request is discarded
+    When every engine is "crossed"
+    And a caller streams 10 tokens through node 0
+    Then the answer is problem "no-target" with execution "not-run"
+    When a caller streams 10 tokens through node 1
+    Then the stream is whole with 10 tokens
+
+  Scenario: A planned stop cuts no request
+    When 6 callers begin to stream 200 tokens through node 2
+    And all of them have begun
+    And node 2 is stopped as planned
+    Then all of them get the whole 200 tokens
