Let requests wait while a coordinator's bucket recovers

Cause: a bucket whose past is unknown starts empty, so just after the start, or after its shares moved, a coordinator refused requests inside the rate; readiness does not cover it, since the bucket fills only from then on. Change: a bucket says that it is recovering until a whole burst has refilled; requests then wait up to admission_wait_ms instead of being refused.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/CustomerLimit.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/CustomerLimit.java
@@ -104,6 +104,11 @@
                 floor, mCoordinated.nanosUntil(cost, customer.rate(), customer.burst(), now));
     }
 
+    /** Tells whether a refusal by this coordinator may hit a request inside the rate. */
+    public boolean isRecovering(Customer customer, long now) {
+        return mCoordinated.isRecovering(customer.rate(), customer.burst(), now);
+    }
+
     /** Brings the refill up to date; called several times a second for each customer. */
     public void refresh(Customer customer, long now) {
         mCoordinated.refresh(customer.rate(), customer.burst(), now);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/ShareBucket.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/ShareBucket.java
@@ -19,6 +19,12 @@
 public final class ShareBucket {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
+    /** Fraction below which the bucket refills so slowly that a refusal says little. */
+    private static final double FRACTION_ENOUGH = 0.5;
+
+    /** Tokens whose loss matters to a request. */
+    private static final double LOSS_TOKENS = 0.5;
+
     /** Part of the rate that is kept back, since a host's clock may run fast by that much. */
     private static final double CLOCK_RATE_MARGIN = 0.0005;
 
@@ -32,7 +38,16 @@
     /** A block granted to a host. */
     record Grant(long blockId, double tokens, long endsAt) {}
 
-    private record State(double level, long advancedAt, List<Grant> grants) {
+    /**
+     * What the bucket holds.
+     *
+     * @param level tokens
+     * @param advancedAt up to when the refill is counted
+     * @param lostAt when tokens were last given up, because the fraction shrank or its past is
+     *     unknown
+     * @param grants blocks that have not ended
+     */
+    private record State(double level, long advancedAt, long lostAt, List<Grant> grants) {
         double outstanding() {
             double sum = 0;
             for (Grant grant : grants) {
@@ -48,7 +63,7 @@
     /** Creates an empty bucket whose refill starts at {@code now}. */
     public ShareBucket(FractionSince fraction, long now) {
         mFraction = fraction;
-        mState = new AtomicReference<>(new State(0, now, List.of()));
+        mState = new AtomicReference<>(new State(0, now, now, List.of()));
     }
 
     /** Takes {@code cost} tokens at once, or none. */
@@ -58,7 +73,8 @@
             State state = advance(before, rate, burst, now);
             boolean enough = state.level() >= cost;
             double level = enough ? state.level() - cost : state.level();
-            if (swap(before, new State(level, state.advancedAt(), state.grants()))) {
+            if (swap(
+                    before, new State(level, state.advancedAt(), state.lostAt(), state.grants()))) {
                 return enough;
             }
         }
@@ -91,7 +107,8 @@
                 grants = new ArrayList<>(grants);
                 grants.add(new Grant(blockId, tokens, endsAt));
             }
-            if (swap(before, new State(state.level() - tokens, state.advancedAt(), grants))) {
+            double left = state.level() - tokens;
+            if (swap(before, new State(left, state.advancedAt(), state.lostAt(), grants))) {
                 return tokens;
             }
         }
@@ -118,7 +135,7 @@
                 return;
             }
             double level = state.level() + Math.max(0, Math.min(unused, closed.tokens()));
-            if (swap(before, new State(level, state.advancedAt(), grants))) {
+            if (swap(before, new State(level, state.advancedAt(), state.lostAt(), grants))) {
                 return;
             }
         }
@@ -130,6 +147,15 @@
         swap(before, advance(before, rate, burst, now));
     }
 
+    /**
+     * Tells whether the bucket gave up tokens so lately that it may hold fewer than a bucket with
+     * an unbroken past would: a refusal now may hit a request inside the rate.
+     */
+    public boolean isRecovering(double rate, double burst, long now) {
+        State state = advance(mState.get(), rate, burst, now);
+        return now - state.lostAt() < burst / rate * NANOS_PER_SECOND;
+    }
+
     /** Returns how long it takes until {@code cost} tokens are there, nanoseconds. */
     public long nanosUntil(double cost, double rate, double burst, long now) {
         State state = advance(mState.get(), rate, burst, now);
@@ -155,6 +181,8 @@
         double perNano = rate * fraction * (1 - CLOCK_RATE_MARGIN) / NANOS_PER_SECOND;
         double outstanding = state.outstanding();
         double level = Math.min(state.level(), cap - outstanding);
+        boolean lost = state.level() - level > LOSS_TOKENS || fraction < FRACTION_ENOUGH;
+        long lostAt = lost ? now : state.lostAt();
         long at = state.advancedAt();
         for (Grant ended : endedInOrder(state.grants(), now)) {
             level = Math.min(level + perNano * (ended.endsAt() - at), cap - outstanding);
@@ -162,7 +190,7 @@
             at = ended.endsAt();
         }
         level = Math.min(level + perNano * (now - at), cap - outstanding);
-        return new State(Math.max(0, level), now, unended(state.grants(), now));
+        return new State(Math.max(0, level), now, lostAt, unended(state.grants(), now));
     }
 
     private static List<Grant> endedInOrder(List<Grant> grants, long now) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/limit/RateLimiter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/limit/RateLimiter.java
@@ -52,7 +52,7 @@
         }
     }
 
-    private record Asked(boolean coordinator, boolean granted, long retryMs) {}
+    private record Asked(boolean coordinator, boolean granted, boolean recovering, long retryMs) {}
 
     private final Vertx mVertx;
     private final Ticker mTicker;
@@ -132,7 +132,8 @@
         if (entry.mLimit.takeAsCoordinator(customer, cost, now)) {
             return admitted("coordinator");
         }
-        if (isReady(customer.name(), now)) {
+        boolean recovering = entry.mLimit.isRecovering(customer, now) && now - deadline < 0;
+        if (isReady(customer.name(), now) && !recovering) {
             long retry = entry.mLimit.retryNanos(customer, cost, now);
             return refused(TimeUnit.NANOSECONDS.toMillis(retry), "rate");
         }
@@ -165,7 +166,8 @@
             boolean spent = entry.mLimit.spendBlock(cost, mTicker.nanoTime());
             return spent ? admitted("block") : attempt(customer, entry, cost, deadline);
         }
-        if (asked.coordinator()) {
+        boolean wait = asked.recovering() && mTicker.nanoTime() - deadline < 0;
+        if (asked.coordinator() && !wait) {
             long cached =
                     Math.min(REFUSAL_CACHE_NANOS, TimeUnit.MILLISECONDS.toNanos(asked.retryMs()));
             entry.mRefusedUntil = mTicker.nanoTime() + cached;
@@ -210,7 +212,7 @@
 
     private Future<Asked> send(String customer, Entry entry, String coordinator, double wanted) {
         String address = mFleet.addressOf(coordinator);
-        Asked nobody = new Asked(false, false, RETRY_MS);
+        Asked nobody = new Asked(false, false, false, RETRY_MS);
         if (address == null) {
             return Future.succeededFuture(nobody);
         }
@@ -237,10 +239,10 @@
 
     private static Asked received(Entry entry, String coordinator, long askedAt, TokenReply reply) {
         if (!reply.isCoordinator()) {
-            return new Asked(false, false, RETRY_MS);
+            return new Asked(false, false, false, RETRY_MS);
         }
         if (reply.getGranted() <= 0) {
-            return new Asked(true, false, reply.getRetryAfterMs());
+            return new Asked(true, false, reply.isRecovering(), reply.getRetryAfterMs());
         }
         CustomerLimit.Granted granted =
                 new CustomerLimit.Granted(
@@ -249,7 +251,7 @@
                         TimeUnit.MILLISECONDS.toNanos(reply.getValidForMs()),
                         0);
         entry.mLimit.addBlock(granted, coordinator, askedAt);
-        return new Asked(true, true, 0);
+        return new Asked(true, true, false, 0);
     }
 
     private PeerReply grant(TokenRequest request) {
@@ -270,6 +272,7 @@
         reply.setCoordinator(true);
         if (request.getWanted() > 0) {
             CustomerLimit.Granted granted = limit.grant(customer, request.getWanted(), 1, now);
+            reply.setRecovering(limit.isRecovering(customer, now));
             reply.setBlockId(granted.blockId());
             reply.setGranted(granted.tokens());
             reply.setValidForMs(TimeUnit.NANOSECONDS.toMillis(granted.validNanos()));
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -60,6 +60,8 @@
   3: double granted
   4: i64 validForMs
   5: i64 retryAfterMs
+  // Whether the coordinator lost tokens lately, so that the request had better wait.
+  6: bool recovering
 }
 
 struct SlotRequest {
--- a/sesamepin-test/src/test/java/org/sesamepin/test/FleetSteps.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FleetSteps.java
@@ -25,7 +25,7 @@
     private static final AtomicInteger PORTS = new AtomicInteger(20_000);
     private static final int PORTS_PER_FLEET = 200;
     private static final int ENGINES = 3;
-    private static final long PATIENCE_MS = 60_000;
+    private static final long PATIENCE_MS = 30_000;
 
     private @Nullable DemoFleet mFleet;
     private @Nullable FleetCaller mCaller;
