Resume a broken stream once for each attempt

Cause: one dead connection shows as two failures, of the response and of the request that is reset; each started a further attempt, so tokens were passed on twice and slots were taken twice. Ruled out: the event parser and the resume offset, which were right. Change: an attempt has a number and only its first failure counts.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -46,6 +46,7 @@
     private long mLastProgressAt;
     private long mTimer = -1;
     private boolean mPassedOn;
+    private int mAttempt;
     private boolean mAborted;
 
     CompletionRequest(OnlineContext node, HttpServerRequest request) {
@@ -120,12 +121,13 @@
         RequestOptions options = TargetClient.to(target, mRequest.method(), mRequest.path());
         KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
         protocol.prepare(options, target, mId, mPassedOn ? mParser.lastId() : null);
+        int attempt = mAttempt;
         mLastProgressAt = System.nanoTime();
-        startTimer(lease);
+        startTimer(attempt, lease);
         here(mNode.client().open(target, options, true))
                 .compose(request -> send(request))
-                .onSuccess(response -> answered(lease, protocol, response))
-                .onFailure(e -> broken(lease, e));
+                .onSuccess(response -> answered(attempt, lease, protocol, response))
+                .onFailure(e -> broken(attempt, lease, e));
     }
 
     private Future<HttpClientResponse> send(HttpClientRequest request) {
@@ -137,10 +139,10 @@
         return request.send(mBody);
     }
 
-    private void startTimer(SlotLease lease) {
+    private void startTimer(int attempt, SlotLease lease) {
         stopTimer();
         long interval = Math.max(MIN_CHECK_MS, model().progressTimeoutMs() / 8);
-        mTimer = mNode.vertx().setPeriodic(interval, t -> checkProgress(lease));
+        mTimer = mNode.vertx().setPeriodic(interval, t -> checkProgress(attempt, lease));
     }
 
     private void stopTimer() {
@@ -150,13 +152,13 @@
         }
     }
 
-    private void checkProgress(SlotLease lease) {
+    private void checkProgress(int attempt, SlotLease lease) {
         boolean streaming = Boolean.TRUE.equals(mCall.getValue("stream"));
         long limitMs = streaming ? model().progressTimeoutMs() : model().requestTimeoutMs();
         long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mLastProgressAt);
         boolean waitsForCaller = mRequest.response().writeQueueFull();
         if (silentMs > limitMs && !waitsForCaller) {
-            broken(lease, timeout(lease));
+            broken(attempt, lease, timeout(lease));
         }
     }
 
@@ -165,23 +167,27 @@
                 Step.AWAIT_RESPONSE, lease.target().name(), Execution.UNKNOWN, "silent", null);
     }
 
-    private void answered(SlotLease lease, TargetProtocol protocol, HttpClientResponse response) {
+    private void answered(
+            int attempt, SlotLease lease, TargetProtocol protocol, HttpClientResponse response) {
+        if (attempt != mAttempt) {
+            return;
+        }
         String answeredId = response.getHeader(TargetHeaders.REQUEST_ID);
         if (!protocol.belongs(mId, answeredId)) {
-            broken(lease, failure(lease, "answer of another request"));
+            broken(attempt, lease, failure(lease, "answer of another request"));
             return;
         }
         if (response.statusCode() >= STATUS_SERVER_ERROR) {
-            broken(lease, failure(lease, "status " + response.statusCode()));
+            broken(attempt, lease, failure(lease, "status " + response.statusCode()));
             return;
         }
         mTargetResponse = response;
         mLastProgressAt = System.nanoTime();
         String type = response.getHeader("Content-Type");
         if (type != null && type.startsWith("text/event-stream")) {
-            relay(lease, response);
+            relay(attempt, lease, response);
         } else {
-            collect(lease, response);
+            collect(attempt, lease, response);
         }
     }
 
@@ -190,17 +196,17 @@
                 Step.AWAIT_RESPONSE, lease.target().name(), Execution.UNKNOWN, message, null);
     }
 
-    private void collect(SlotLease lease, HttpClientResponse response) {
+    private void collect(int attempt, SlotLease lease, HttpClientResponse response) {
         Buffer answer = Buffer.buffer();
         response.handler(
                 part -> {
                     mLastProgressAt = System.nanoTime();
                     answer.appendBuffer(part);
                     if (answer.length() > MAX_ANSWER_BYTES) {
-                        broken(lease, failure(lease, "answer too large"));
+                        broken(attempt, lease, failure(lease, "answer too large"));
                     }
                 });
-        response.exceptionHandler(e -> broken(lease, e));
+        response.exceptionHandler(e -> broken(attempt, lease, e));
         response.endHandler(
                 v -> {
                     if (hasEnded() || mTargetResponse != response) {
@@ -218,7 +224,7 @@
                 });
     }
 
-    private void relay(SlotLease lease, HttpClientResponse response) {
+    private void relay(int attempt, SlotLease lease, HttpClientResponse response) {
         response.handler(
                 part -> {
                     mLastProgressAt = System.nanoTime();
@@ -226,19 +232,19 @@
                         return;
                     }
                     if (!mParser.accept(part)) {
-                        broken(lease, failure(lease, "event too large"));
+                        broken(attempt, lease, failure(lease, "event too large"));
                         return;
                     }
                     slowDown(response);
                 });
-        response.exceptionHandler(e -> broken(lease, e));
+        response.exceptionHandler(e -> broken(attempt, lease, e));
         response.endHandler(
                 v -> {
                     if (hasEnded() || mTargetResponse != response) {
                         return;
                     }
                     if (!mParser.isDone()) {
-                        broken(lease, failure(lease, "stream ended early"));
+                        broken(attempt, lease, failure(lease, "stream ended early"));
                         return;
                     }
                     stopTimer();
@@ -272,11 +278,13 @@
         caller.write(event);
     }
 
-    /** The call at this target failed: resumes or repeats it elsewhere. */
-    private void broken(SlotLease lease, Throwable cause) {
-        if (hasEnded() || mAborted) {
+    /** The call at this target failed: resumes or repeats it elsewhere, once for each attempt. */
+    private void broken(int attempt, SlotLease lease, Throwable cause) {
+        // One failure shows at several places; only the first one of an attempt counts.
+        if (hasEnded() || mAborted || attempt != mAttempt) {
             return;
         }
+        mAttempt++;
         stopTimer();
         dropTarget();
         releaseSlot(true);
