--- /dev/null
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/LoadCommand.java
@@ -0,0 +1,108 @@
+package org.sesamepin.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import joptsimple.OptionSpec;
+import org.sesamepin.core.config.PropertyDescriptor;
+
+/** {@code sesamepin load}: sends online requests at a fixed rate and prints percentiles. */
+final class LoadCommand implements Command {
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public String summary() {
+        return "sends online requests at a given rate and prints percentiles";
+    }
+
+    @Override
+    public int run(List<String> args, Output out) throws Exception {
+        Arguments arguments =
+                new Arguments("load --callers IP:PORT,... --key KEY --model NAME [OPTION ...]");
+        OptionSpec<String> callers =
+                text(arguments, "callers", "addresses, used in turn").required();
+        OptionSpec<String> key = text(arguments, "key", "caller key").defaultsTo("none");
+        OptionSpec<String> model = text(arguments, "model", "model to call").required();
+        OptionSpec<Double> rate =
+                arguments
+                        .parser()
+                        .accepts("rate", "requests per second, Poisson arrivals")
+                        .withRequiredArg()
+                        .ofType(Double.class)
+                        .defaultsTo(20.0);
+        OptionSpec<Integer> seconds = number(arguments, "seconds", "length", 10);
+        OptionSpec<Integer> warmup = number(arguments, "warmup", "seconds not counted", 3);
+        OptionSpec<Integer> tokens = number(arguments, "tokens", "tokens of each answer", 8);
+        OptionSpec<Integer> seed = number(arguments, "seed", "seed of the arrivals", 1);
+        OptionSpec<Void> json = arguments.parser().accepts("json", "prints JSON");
+        if (!arguments.parse(args, out)) {
+            return Main.OK;
+        }
+        List<String> addresses = List.of(arguments.get(callers).split(","));
+        try {
+            addresses.forEach(PropertyDescriptor::parseAddress);
+        } catch (IllegalArgumentException e) {
+            throw new UsageException("--callers: " + e.getMessage());
+        }
+        Vertx vertx = Vertx.vertx();
+        try {
+            LoadRun run =
+                    new LoadRun(
+                            vertx,
+                            addresses,
+                            arguments.get(key),
+                            arguments.get(model),
+                            arguments.get(tokens),
+                            arguments.get(seed));
+            JsonObject report =
+                    run.run(arguments.get(rate), arguments.get(warmup), arguments.get(seconds));
+            print(report, arguments.has(json), out);
+            return report.getLong("failed") == 0 ? Main.OK : Main.FAILED;
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static joptsimple.ArgumentAcceptingOptionSpec<String> text(
+            Arguments arguments, String name, String what) {
+        return arguments.parser().accepts(name, what).withRequiredArg();
+    }
+
+    private static OptionSpec<Integer> number(
+            Arguments arguments, String name, String what, int standard) {
+        return arguments
+                .parser()
+                .accepts(name, what)
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(standard);
+    }
+
+    private static void print(JsonObject report, boolean json, Output out) {
+        if (json) {
+            out.line(report.encode());
+            return;
+        }
+        out.line(
+                String.format(
+                        "sent %d, whole %d, rate-refused %d, failed %d",
+                        report.getLong("sent"),
+                        report.getLong("whole"),
+                        report.getLong("rate_refused"),
+                        report.getLong("failed")));
+        for (String what : List.of("first_token_ms", "whole_ms", "between_tokens_ms")) {
+            JsonObject p = report.getJsonObject(what);
+            out.line(
+                    String.format(
+                            "%-18s p50 %8.2f  p95 %8.2f  p99 %8.2f  max %8.2f",
+                            what,
+                            p.getDouble("p50"),
+                            p.getDouble("p95"),
+                            p.getDouble("p99"),
+                            p.getDouble("max")));
+        }
+    }
+}
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/Main.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Main.java
@@ -24,6 +24,7 @@
                     new StatusCommand(),
                     new UsageCommand(),
                     new DemoCommand(),
+                    new LoadCommand(),
                     new StandInCommand(),
                     new ReferenceCommand());
 
--- /dev/null
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FaultSteps.java
@@ -0,0 +1,144 @@
+package org.sesamepin.test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.cli.DemoFleet;
+import org.sesamepin.standin.store.StoreFault;
+
+/** Steps about faults, configuration and rates. */
+public class FaultSteps {
+
+    private final FleetWorld mWorld;
+
+    /** Creates the steps over a scenario's fleet. */
+    public FaultSteps(FleetWorld world) {
+        mWorld = world;
+    }
+
+    // Faults of engines, hosts and the store.
+
+    @When("engine {int} is {string}")
+    public void engineFault(int engine, String kind) throws Exception {
+        mWorld.caller().fault(mWorld.fleet().engine(engine), new JsonObject().put("kind", kind));
+    }
+
+    @When("every engine is {string}")
+    public void everyEngineFault(String kind) throws Exception {
+        for (int i = 0; i < FleetWorld.ENGINES; i++) {
+            engineFault(i, kind);
+        }
+    }
+
+    @When("every engine dies of the word {string}")
+    public void poison(String word) throws Exception {
+        for (int i = 0; i < FleetWorld.ENGINES; i++) {
+            JsonObject fault = new JsonObject().put("kind", "none").put("word", word);
+            mWorld.caller().fault(mWorld.fleet().engine(i), fault);
+        }
+    }
+
+    @When("the host of node {int} is lost")
+    public void kill(int node) throws Exception {
+        mWorld.fleet().killNode(node);
+    }
+
+    @When("node {int} is stopped as planned")
+    public void stopNode(int node) throws Exception {
+        mWorld.fleet().stopNode(node);
+    }
+
+    @When("node {int} is started again")
+    public void startNode(int node) throws Exception {
+        mWorld.fleet().startNode(node);
+        mWorld.fleet().awaitReady();
+    }
+
+    @When("the store is {string}")
+    public void storeFault(String kind) {
+        mWorld.fleet().store().setFault(StoreFault.fromJson(new JsonObject().put("kind", kind)));
+    }
+
+    @When("{int} seconds pass")
+    public void pass(int seconds) throws Exception {
+        TimeUnit.SECONDS.sleep(seconds);
+    }
+
+    @When("the platform lists the target {string} as leaving")
+    public void leaving(String target) throws Exception {
+        mWorld.caller().hostList("PUT", "/hosts/" + target + "?state=leaving");
+    }
+
+    @Then("engine {int} gets no new work after {int} seconds")
+    public void noNewWork(int engine, int seconds) throws Exception {
+        TimeUnit.SECONDS.sleep(seconds);
+        long before = mWorld.executions(engine).getLong("executions");
+        for (int i = 0; i < 30; i++) {
+            String body = FleetCaller.completion("quote", 2, false).encode();
+            int node = i % DemoFleet.NODES;
+            mWorld.setAnswer(
+                    mWorld.caller().post(node, "/v1/completions", body, mWorld.fleet().key()));
+            assertEquals(200, mWorld.answer().statusCode(), mWorld.answer().body());
+        }
+        assertEquals(before, mWorld.executions(engine).getLong("executions"));
+    }
+
+    // Configuration.
+
+    @Then("version {long} is in force on node {int}")
+    public void inForce(long version, int node) throws Exception {
+        FleetWorld.await(
+                "version " + version,
+                () -> mWorld.fleet().node(node).status().getLong("version") == version);
+    }
+
+    @When("the operators roll a next version")
+    public void rollNext() throws Exception {
+        mWorld.fleet().roll(mWorld.fleet().bundle(""));
+    }
+
+    @When("the operators roll a next version while an answer of the store is lost")
+    public void rollWithLostAnswer() throws Exception {
+        // Leases write as well, so several answers are lost until it is the roll's turn.
+        mWorld.fleet()
+                .store()
+                .setFault(
+                        StoreFault.fromJson(
+                                new JsonObject().put("kind", "lost-answers").put("count", 8)));
+        mWorld.fleet().roll(mWorld.fleet().bundle(""));
+    }
+
+    @Then("a second operator who rolls the same version is told who won")
+    public void secondOperatorLoses() throws Exception {
+        String stale = mWorld.fleet().bundle("").replaceFirst("version = \\d+", "version = 1");
+        Exception refused = null;
+        try {
+            mWorld.fleet().roll(stale);
+        } catch (Exception e) {
+            refused = e;
+        }
+        assertTrue(
+                refused != null && String.valueOf(refused.getMessage()).contains("rolled by demo"),
+                String.valueOf(refused));
+    }
+
+    // Rates.
+
+    @Then("of {int} quick requests of the small customer at most {int} are admitted")
+    public void smallCustomer(int requests, int most) throws Exception {
+        int admitted = 0;
+        for (int i = 0; i < requests; i++) {
+            int status =
+                    mWorld.caller()
+                            .post(i % DemoFleet.NODES, "/bookings", "{}", mWorld.fleet().otherKey())
+                            .statusCode();
+            admitted += status == 200 ? 1 : 0;
+            assertTrue(status == 200 || status == 429, "status " + status);
+        }
+        assertTrue(admitted >= 1 && admitted <= most, "admitted " + admitted);
+    }
+}
--- a/sesamepin-test/src/test/java/org/sesamepin/test/FleetCaller.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FleetCaller.java
@@ -111,4 +111,19 @@
             return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
+
+    /** Returns the lines of an input file. */
+    static String items(int count, String prompt, int tokens) {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            JsonObject item =
+                    new JsonObject()
+                            .put("custom_id", "sheet-" + i)
+                            .put("method", "POST")
+                            .put("url", "/v1/completions")
+                            .put("body", completion(prompt + " " + i + "!", tokens, false));
+            lines.append(item.encode()).append('\n');
+        }
+        return lines.toString();
+    }
 }
--- a/sesamepin-test/src/test/java/org/sesamepin/test/ScenarioTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/ScenarioTest.java
@@ -3,13 +3,13 @@
 import org.junit.platform.suite.api.ConfigurationParameter;
 import org.junit.platform.suite.api.ExcludeTags;
 import org.junit.platform.suite.api.IncludeEngines;
-import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.SelectPackages;
 import org.junit.platform.suite.api.Suite;
 
 /** Runs the feature files. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectClasspathResource("features")
+@SelectPackages("features")
 @ExcludeTags("known-red")
 @ConfigurationParameter(key = "cucumber.glue", value = "org.sesamepin.test")
 @ConfigurationParameter(key = "cucumber.plugin", value = "summary")
