Tell a new coordinator exactly when the former one's delegation ends

Cause: after a host was lost a request inside the rate was refused: the new coordinator waited for the whole life of a delegation from the change of the view on, though the lost host's ended long before. Change: a host tells for how long it has lent its share under former views, by coordinator; requests wait up to 3 s. Three problem types that nothing used are gone.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/Delegations.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/Delegations.java
@@ -1,10 +1,11 @@
 package org.sesamepin.core.limit;
 
+import static org.sesamepin.core.membership.FleetTiming.withMargin;
+
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
-import org.sesamepin.core.membership.FleetTiming;
 import org.sesamepin.core.membership.Rendezvous;
 
 /**
@@ -29,7 +30,7 @@
             List<String> view,
             long viewNumber,
             List<String> previousView,
-            long formerEndsAt) {
+            Map<String, Long> formerEnds) {
         double amountSince(long start) {
             if (start - raisedAt >= 0) {
                 return fraction;
@@ -39,13 +40,11 @@
     }
 
     private final String mSelf;
-    private final FleetTiming mTiming;
     private volatile Map<String, Held> mHeld = Map.of();
 
     /** Creates the table of the coordinator {@code self}, which holds nothing yet. */
-    public Delegations(String self, FleetTiming timing) {
+    public Delegations(String self) {
         mSelf = self;
-        mTiming = timing;
     }
 
     /**
@@ -79,7 +78,7 @@
                 view,
                 answer.viewNumber(),
                 answer.previousView(),
-                formerEnd(answer, now));
+                formerEnds(answer, now));
     }
 
     private Held renewed(
@@ -87,7 +86,12 @@
         boolean sameView = before.viewNumber() == answer.viewNumber();
         boolean raised = answer.fraction() > before.fraction();
         // A customer that moved here under the former view was covered only from its end on.
-        long since = sameView ? before.since() : later(before.since(), before.formerEndsAt());
+        long since = before.since();
+        if (!sameView) {
+            for (long end : before.formerEnds().values()) {
+                since = later(since, end);
+            }
+        }
         if (raised) {
             // An earlier raise counts from its own time on only.
             since = later(since, before.raisedAt());
@@ -103,11 +107,15 @@
                 view,
                 answer.viewNumber(),
                 answer.previousView(),
-                sameView ? before.formerEndsAt() : formerEnd(answer, now));
+                sameView ? before.formerEnds() : formerEnds(answer, now));
     }
 
-    private long formerEnd(Delegator.Answer answer, long now) {
-        return now - answer.viewAgeNanos() + mTiming.delegationEndNanos();
+    /** Returns when each former coordinator's delegation has ended, by this host's clock. */
+    private static Map<String, Long> formerEnds(Delegator.Answer answer, long now) {
+        Map<String, Long> ends = new HashMap<>();
+        answer.lentElsewhere()
+                .forEach((host, remaining) -> ends.put(host, now + withMargin(remaining)));
+        return Map.copyOf(ends);
     }
 
     /**
@@ -121,16 +129,33 @@
             if (held.until() - now < 0 || !owns(owns, customer, held.view())) {
                 continue;
             }
-            boolean kept =
-                    !held.previousView().isEmpty() && owns(owns, customer, held.previousView());
-            boolean formerEnded = since - held.formerEndsAt() >= 0;
-            if (kept || formerEnded) {
+            if (formerEnded(owns, held, customer, since)) {
                 sum += held.amountSince(since);
             }
         }
         return sum;
     }
 
+    /** Tells whether no former coordinator can use the share for the customer any more. */
+    private boolean formerEnded(
+            Map<List<String>, Boolean> owns, Held held, String customer, long since) {
+        if (held.formerEnds().isEmpty()) {
+            return true;
+        }
+        List<String> former = held.previousView();
+        if (!former.isEmpty() && owns(owns, customer, former)) {
+            return true;
+        }
+        String formerOwner = former.isEmpty() ? null : ownerOrNull(customer, former);
+        for (Map.Entry<String, Long> end : held.formerEnds().entrySet()) {
+            boolean concerns = formerOwner == null || formerOwner.equals(end.getKey());
+            if (concerns && since - end.getValue() < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean owns(Map<List<String>, Boolean> known, String customer, List<String> view) {
         return known.computeIfAbsent(view, v -> mSelf.equals(ownerOrNull(customer, v)));
     }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/Delegator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/Delegator.java
@@ -1,7 +1,9 @@
 package org.sesamepin.core.limit;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.sesamepin.core.membership.FleetTiming;
 import org.sesamepin.core.membership.Rendezvous;
 import org.sesamepin.core.membership.Tenure;
@@ -17,17 +19,19 @@
      *
      * @param forNanos how long the share is delegated from when the question was sent; 0 for not
      * @param fraction part of each rate that is delegated
-     * @param viewAgeNanos how long this host has had its present view
+     * @param lentElsewhere for how long delegations under former views, and blocks under them, may
+     *     last yet, nanoseconds by coordinator
      * @param previousView its former view; empty when it had more than one of late
      * @param viewNumber changes with each change of this host's view
      */
     public record Answer(
             long forNanos,
             double fraction,
-            long viewAgeNanos,
+            Map<String, Long> lentElsewhere,
             List<String> previousView,
             long viewNumber) {
-        private static final Answer REFUSED = new Answer(0, 0, 0, List.of(), 0);
+        /** Answer that delegates nothing. */
+        public static final Answer REFUSED = new Answer(0, 0, Map.of(), List.of(), 0);
     }
 
     private record Lent(String coordinator, List<String> view, long endsAt) {}
@@ -88,7 +92,17 @@
         long endsAt = now + mTiming.delegationEndNanos();
         next.add(new Lent(coordinator, mView, endsAt));
         mLent = List.copyOf(next);
-        return new Answer(forNanos, fraction, now - mViewSince, mPreviousView, mViewNumber);
+        return new Answer(forNanos, fraction, lentElsewhere(now), mPreviousView, mViewNumber);
+    }
+
+    private Map<String, Long> lentElsewhere(long now) {
+        Map<String, Long> remaining = new HashMap<>();
+        for (Lent lent : mLent) {
+            if (!lent.view().equals(mView)) {
+                remaining.merge(lent.coordinator(), lent.endsAt() - now, Math::max);
+            }
+        }
+        return remaining;
     }
 
     /**
--- a/sesamepin-core/src/test/java/org/sesamepin/core/fleet/FleetSimulation.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/fleet/FleetSimulation.java
@@ -249,9 +249,7 @@
         host.beat(mCustomers);
         List<String> view = host.view();
         SimulatedHost.Reply state =
-                host.describe(
-                        new org.sesamepin.core.limit.Delegator.Answer(0, 0, 0, List.of(), 0),
-                        false);
+                host.describe(org.sesamepin.core.limit.Delegator.Answer.REFUSED, false);
         for (String peer : hostNames()) {
             if (!peer.equals(name)) {
                 long askedAt = host.now();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/fleet/SimulatedHost.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/fleet/SimulatedHost.java
@@ -57,7 +57,7 @@
         mDelegates = delegates;
         mTenure = new Tenure(name, timing, clock);
         mDelegator = new Delegator(mTenure, timing, clock);
-        mDelegations = new Delegations(name, timing);
+        mDelegations = new Delegations(name);
         mView = List.of(name);
         for (Customer customer : customers) {
             mLimits.put(
@@ -135,7 +135,7 @@
         Delegator.Answer answer =
                 mDelegates
                         ? mDelegator.delegate(sender.host(), senderView)
-                        : new Delegator.Answer(0, 0, 0, List.of(), 0);
+                        : Delegator.Answer.REFUSED;
         return describe(answer, mTenure.consent(sender.epoch()));
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -93,7 +93,7 @@
         mHealth = new TargetHealth(mTicker);
         mTenure = new Tenure(self, timing, mTicker);
         mDelegator = new Delegator(mTenure, timing, mTicker);
-        mDelegations = new Delegations(self, timing);
+        mDelegations = new Delegations(self);
         mFleet = new FleetView(self, settings.seeds(), mTicker);
         PluginRegistry.StoreFactory stores = mPlugins.store(settings.storeKind());
         mStore =
--- a/sesamepin-node/src/main/java/org/sesamepin/node/fleet/Heartbeats.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/fleet/Heartbeats.java
@@ -2,7 +2,9 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.sesamepin.core.bundle.SignedBundle;
@@ -123,12 +125,19 @@
                 new Delegator.Answer(
                         TimeUnit.MILLISECONDS.toNanos(reply.getDelegatedForMs()),
                         reply.getFraction(),
-                        TimeUnit.MILLISECONDS.toNanos(reply.getViewAgeMs()),
+                        lentElsewhere(reply),
                         List.copyOf(reply.getPreviousView()),
                         reply.getViewNumber());
         mDelegations.received(sender.getHost(), askedAt, view, answer, mTicker.nanoTime());
     }
 
+    private static Map<String, Long> lentElsewhere(HeartbeatReply reply) {
+        Map<String, Long> elsewhere = new HashMap<>();
+        reply.getLentElsewhereMs()
+                .forEach((host, ms) -> elsewhere.put(host, TimeUnit.MILLISECONDS.toNanos(ms)));
+        return elsewhere;
+    }
+
     private Future<PeerReply> answer(Heartbeat heartbeat) {
         HostState sender = heartbeat.getSender();
         note(sender.getPeerAddress(), sender);
@@ -140,7 +149,10 @@
         reply.setConsent(consent);
         reply.setDelegatedForMs(TimeUnit.NANOSECONDS.toMillis(answer.forNanos()));
         reply.setFraction(answer.fraction());
-        reply.setViewAgeMs(TimeUnit.NANOSECONDS.toMillis(answer.viewAgeNanos()));
+        Map<String, Long> elsewhere = new HashMap<>();
+        answer.lentElsewhere()
+                .forEach((h, n) -> elsewhere.put(h, TimeUnit.NANOSECONDS.toMillis(n) + 1));
+        reply.setLentElsewhereMs(elsewhere);
         reply.setPreviousView(answer.previousView());
         reply.setViewNumber(answer.viewNumber());
         return Future.succeededFuture(PeerReply.heartbeat(reply));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ProblemType.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ProblemType.java
@@ -14,7 +14,6 @@
     CALLER_TOO_SLOW(408, "The request did not arrive in time"),
     IN_DOUBT(409, "An earlier request with this idempotency key may have run"),
     KEY_REUSED(409, "The idempotency key belongs to another request"),
-    CONFLICT(409, "The state does not allow this"),
     TOO_LARGE(413, "The request is too large"),
     RATE_EXCEEDED(429, "The customer's rate is used up"),
     TARGET_FAILED(502, "The target failed"),
@@ -22,8 +21,6 @@
     OVERLOADED(503, "No slot became free in time"),
     KEYS_NOT_FRESH(503, "The node cannot know whether the key is still good"),
     STORE_UNAVAILABLE(503, "The platform's store cannot be reached"),
-    STOPPING(503, "The node is stopping"),
-    TARGET_TIMEOUT(504, "The target did not answer in time"),
     INTERNAL(500, "Internal error");
 
     private final int mStatus;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/settings/NodeProperties.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/settings/NodeProperties.java
@@ -118,7 +118,7 @@
             PropertyDescriptor.integer(
                     "admission_wait_ms",
                     "milliseconds",
-                    2_000,
+                    3_000,
                     0,
                     60_000,
                     "Longest wait for a rate decision while its coordinator changes.");
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -37,7 +37,7 @@
   2: bool consent
   4: i64 delegatedForMs
   5: double fraction
-  6: i64 viewAgeMs
+  6: map<string, i64> lentElsewhereMs
   7: list<string> previousView
   8: i64 viewNumber
 }
