Track the package of target protocols

Cause: the ignore pattern target/ also matched the source package node.target, so a fresh clone did not compile. Found by building a copy of the tracked files.

--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/OpenAiProtocol.java
@@ -0,0 +1,32 @@
+package org.sesamepin.node.target;
+
+import io.vertx.core.http.RequestOptions;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.bundle.Target;
+import org.sesamepin.node.spi.TargetProtocol;
+
+/**
+ * OpenAI-style calls. The engine echoes {@code X-Request-Id} and numbers the events of a stream, so
+ * that a broken one is resumed with {@code Last-Event-ID}.
+ */
+final class OpenAiProtocol implements TargetProtocol {
+    @Override
+    public void prepare(
+            RequestOptions options, Target target, String requestId, @Nullable String offset) {
+        options.putHeader(TargetHeaders.REQUEST_ID, requestId);
+        TargetHeaders.putCredential(options, target);
+        if (offset != null) {
+            options.putHeader("Last-Event-ID", offset);
+        }
+    }
+
+    @Override
+    public boolean canResume() {
+        return true;
+    }
+
+    @Override
+    public boolean belongs(String requestId, @Nullable String answeredId) {
+        return answeredId == null || answeredId.equals(requestId);
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/package-info.java
@@ -0,0 +1,5 @@
+/** Calls to targets. */
+@NullMarked
+package org.sesamepin.node.target;
+
+import org.jspecify.annotations.NullMarked;
