--- a/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -10,7 +10,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
 import org.sesamepin.core.lifecycle.Closer;
 import org.sesamepin.core.limit.BlockPolicy;
 import org.sesamepin.core.limit.Delegations;
@@ -246,9 +248,9 @@
 
     private SesamepinException startFailed(Exception e) {
         return new SesamepinException(
-                org.sesamepin.core.error.Step.START,
+                Step.START,
                 mSettings.host(),
-                org.sesamepin.core.error.Execution.NOT_RUN,
+                Execution.NOT_RUN,
                 "cannot start or stop a listener: " + e,
                 e);
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchApi.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchApi.java
@@ -20,7 +20,6 @@
 import org.sesamepin.core.batch.JobRecord;
 import org.sesamepin.core.batch.JobStatus;
 import org.sesamepin.core.bundle.Customer;
-import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.key.KeyDigest;
 import org.sesamepin.node.admin.NodeMetrics;
@@ -141,15 +140,7 @@
             return Future.succeededFuture();
         }
         mMetrics.refused(customer.name(), ProblemType.RATE_EXCEEDED);
-        return Future.failedFuture(
-                new Problem(
-                        ProblemType.RATE_EXCEEDED,
-                        Step.LIMIT,
-                        "node",
-                        Execution.NOT_RUN,
-                        "rate " + customer.rate() + "/s, burst " + customer.burst(),
-                        admission.retryAfterMs(),
-                        null));
+        return Future.failedFuture(admission.refusal(customer));
     }
 
     private Future<Void> route(Context context, HttpServerRequest request, CallerIdentity caller) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/FileUpload.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/FileUpload.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.batch;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -36,7 +37,7 @@
     private final PlatformStore mStore;
     private final HttpServerRequest mRequest;
     private final CallerIdentity mCaller;
-    private final io.vertx.core.Context mContext;
+    private final Context mContext;
     private final int mMaxItems;
     private final String mId = "file-" + UUID.randomUUID();
     private final MessageDigest mDigest = KeyDigest.sha256();
@@ -54,7 +55,7 @@
     private @Nullable Problem mProblem;
 
     FileUpload(
-            io.vertx.core.Context context,
+            Context context,
             PlatformStore store,
             HttpServerRequest request,
             CallerIdentity caller,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -6,6 +6,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.sesamepin.core.error.Step;
 
@@ -31,21 +33,21 @@
             long timeoutMs,
             Consumer<Buffer> parts) {
         Promise<Void> promise = Promise.promise();
-        long[] size = {0};
-        long[] lastAt = {System.nanoTime()};
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        AtomicLong size = new AtomicLong();
+        AtomicLong lastAt = new AtomicLong(System.nanoTime());
         long timer =
                 vertx.setPeriodic(
                         Math.max(10, timeoutMs / 4),
                         t -> {
-                            if (System.nanoTime() - lastAt[0] > timeoutMs * 1_000_000) {
+                            if (System.nanoTime() - lastAt.get() > timeoutNanos) {
                                 promise.tryFail(problem(ProblemType.CALLER_TOO_SLOW, "silence"));
                             }
                         });
         Handler<Buffer> onPart =
                 part -> {
-                    lastAt[0] = System.nanoTime();
-                    size[0] += part.length();
-                    if (size[0] > maxBytes) {
+                    lastAt.set(System.nanoTime());
+                    if (size.addAndGet(part.length()) > maxBytes) {
                         String detail = "at most " + maxBytes + " bytes are allowed";
                         promise.tryFail(problem(ProblemType.TOO_LARGE, detail));
                         return;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -16,7 +16,6 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
-import org.sesamepin.node.http.BodyReader;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.slot.SlotLease;
@@ -56,11 +55,7 @@
     @Override
     protected void begin() throws Problem {
         identified(mNode.authenticator().identify(mRequest));
-        BodyReader.read(
-                        mNode.vertx(),
-                        mRequest,
-                        mNode.limits().maxBodyBytes(),
-                        mNode.limits().readTimeoutMs())
+        readBody()
                 .compose(this::checked)
                 .compose(v -> admit())
                 .onSuccess(v -> attempt())
@@ -69,10 +64,7 @@
 
     private Future<Void> checked(Buffer body) {
         try {
-            KeyFilter.check(caller(), mRequest, body);
             mCall = body.toJsonObject();
-        } catch (Problem e) {
-            return Future.failedFuture(e);
         } catch (DecodeException | ClassCastException e) {
             return Future.failedFuture(
                     new Problem(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/IntentLog.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/IntentLog.java
@@ -9,6 +9,7 @@
 import java.util.Base64;
 import java.util.HexFormat;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
@@ -211,8 +212,7 @@
                         });
     }
 
-    private void retry(
-            Intent intent, java.util.function.Supplier<Future<StoreResult>> call, int triesLeft) {
+    private void retry(Intent intent, Supplier<Future<StoreResult>> call, int triesLeft) {
         call.get()
                 .onFailure(
                         e -> {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineRequestBase.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineRequestBase.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.routing.Candidate;
+import org.sesamepin.node.http.BodyReader;
 import org.sesamepin.node.http.Contexts;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -118,6 +120,25 @@
         return Contexts.on(mContext, future);
     }
 
+    /** Reads the body within the node's limits and checks that the key stands nowhere in it. */
+    protected final Future<Buffer> readBody() {
+        return BodyReader.read(
+                        mNode.vertx(),
+                        mRequest,
+                        mNode.limits().maxBodyBytes(),
+                        mNode.limits().readTimeoutMs())
+                .compose(this::withoutKey);
+    }
+
+    private Future<Buffer> withoutKey(Buffer body) {
+        try {
+            KeyFilter.check(caller(), mRequest, body);
+            return Future.succeededFuture(body);
+        } catch (Problem e) {
+            return Future.failedFuture(e);
+        }
+    }
+
     /** Admits the request against its customer's rate. */
     protected final Future<Void> admit() {
         Customer customer = caller().customer();
@@ -132,15 +153,7 @@
             mNode.metrics().admitted(customer.name(), CLASS);
             return Future.succeededFuture();
         }
-        return Future.failedFuture(
-                new Problem(
-                        ProblemType.RATE_EXCEEDED,
-                        Step.LIMIT,
-                        "node",
-                        Execution.NOT_RUN,
-                        "rate " + customer.rate() + "/s, burst " + customer.burst(),
-                        admission.retryAfterMs(),
-                        null));
+        return Future.failedFuture(admission.refusal(customer));
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -14,7 +14,6 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
-import org.sesamepin.node.http.BodyReader;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.slot.SlotLease;
@@ -55,28 +54,17 @@
             String allowed = "allowed: " + String.join(", ", mRoute.methods());
             throw new Problem(ProblemType.METHOD_REFUSED, Step.ROUTE, allowed);
         }
-        BodyReader.read(
-                        mNode.vertx(),
-                        mRequest,
-                        mNode.limits().maxBodyBytes(),
-                        mNode.limits().readTimeoutMs())
-                .compose(this::checked)
-                .compose(v -> admit())
+        readBody()
+                .compose(
+                        body -> {
+                            mBody = body;
+                            return admit();
+                        })
                 .compose(v -> recordIntent())
                 .onSuccess(go -> runOrReplay(go))
                 .onFailure(this::fail);
     }
 
-    private Future<Void> checked(Buffer body) {
-        try {
-            KeyFilter.check(caller(), mRequest, body);
-        } catch (Problem e) {
-            return Future.failedFuture(e);
-        }
-        mBody = body;
-        return Future.succeededFuture();
-    }
-
     /** Returns the earlier answer to replay, or null when the call is to be made now. */
     private Future<IntentLog.@Nullable StoredAnswer> recordIntent() {
         String key = mRequest.getHeader(IDEMPOTENCY_KEY);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/FrameCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/FrameCodec.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.peer;
 
+import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.function.Consumer;
@@ -32,7 +33,7 @@
     static RecordParser parser(Consumer<PeerFrame> frames, Runnable broken) {
         RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
         parser.handler(
-                new io.vertx.core.Handler<Buffer>() {
+                new Handler<Buffer>() {
                     private boolean mInBody;
 
                     @Override
