Add number options in one place

Change: it stands in Arguments once. Seen: the build with formatter, linter and null checks passes, both helps print the options with their defaults, the demo shows everything. The tests were not run again for this change.

--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/Arguments.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Arguments.java
@@ -25,6 +25,14 @@
         return mParser;
     }
 
+    /** Adds an option that takes a whole number. */
+    OptionSpec<Integer> number(String name, String what, int standard) {
+        return mParser.accepts(name, what)
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(standard);
+    }
+
     /** Parses the words; returns false when only the help was wanted and printed. */
     boolean parse(List<String> args, Output out) throws IOException {
         OptionSet options = mParser.parse(args.toArray(new String[0]));
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/LoadCommand.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/LoadCommand.java
@@ -33,10 +33,10 @@
                         .withRequiredArg()
                         .ofType(Double.class)
                         .defaultsTo(20.0);
-        OptionSpec<Integer> seconds = number(arguments, "seconds", "length", 10);
-        OptionSpec<Integer> warmup = number(arguments, "warmup", "seconds not counted", 3);
-        OptionSpec<Integer> tokens = number(arguments, "tokens", "tokens of each answer", 8);
-        OptionSpec<Integer> seed = number(arguments, "seed", "seed of the arrivals", 1);
+        OptionSpec<Integer> seconds = arguments.number("seconds", "length", 10);
+        OptionSpec<Integer> warmup = arguments.number("warmup", "seconds not counted", 3);
+        OptionSpec<Integer> tokens = arguments.number("tokens", "tokens of each answer", 8);
+        OptionSpec<Integer> seed = arguments.number("seed", "seed of the arrivals", 1);
         OptionSpec<Void> json = arguments.parser().accepts("json", "prints JSON");
         if (!arguments.parse(args, out)) {
             return Main.OK;
@@ -71,16 +71,6 @@
         return arguments.parser().accepts(name, what).withRequiredArg();
     }
 
-    private static OptionSpec<Integer> number(
-            Arguments arguments, String name, String what, int standard) {
-        return arguments
-                .parser()
-                .accepts(name, what)
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(standard);
-    }
-
     private static void print(JsonObject report, boolean json, Output out) {
         if (json) {
             out.line(report.encode());
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/StandInCommand.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/StandInCommand.java
@@ -44,15 +44,15 @@
                         .accepts("name", "model of an engine, or name of a service")
                         .withRequiredArg()
                         .defaultsTo("example");
-        OptionSpec<Integer> slots = number(arguments, "slots", "slots of an engine", 8);
+        OptionSpec<Integer> slots = arguments.number("slots", "slots of an engine", 8);
         OptionSpec<Integer> tokenMs =
-                number(arguments, "token-ms", "time of a token, milliseconds", 20);
+                arguments.number("token-ms", "time of a token, milliseconds", 20);
         OptionSpec<Integer> kvTokens =
-                number(arguments, "kv-tokens", "tokens in an engine's KV cache", 65_536);
+                arguments.number("kv-tokens", "tokens in an engine's KV cache", 65_536);
         OptionSpec<Integer> lagMs =
-                number(arguments, "lag-ms", "lag of reports and lists, milliseconds", 500);
+                arguments.number("lag-ms", "lag of reports and lists, milliseconds", 500);
         OptionSpec<Integer> delayMs =
-                number(arguments, "delay-ms", "time of a service's answer, milliseconds", 5);
+                arguments.number("delay-ms", "time of a service's answer, milliseconds", 5);
         if (!arguments.parse(args, out)) {
             return Main.OK;
         }
@@ -84,14 +84,4 @@
         new CountDownLatch(1).await();
         return Main.OK;
     }
-
-    private static OptionSpec<Integer> number(
-            Arguments arguments, String name, String what, int standard) {
-        return arguments
-                .parser()
-                .accepts(name, what)
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(standard);
-    }
 }
