List a watched prefix again after any cut watch

Cause: after a compaction the store answers a watch that continues from an old revision with silence, not with 410; a cut watch was continued, at a peer even unnoticed by the mirror. Ruled out: stale reads (all lists are linearizable). Hosts also tell each other their watched revisions. Results are read through the job's owner instead of the store.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobDesk.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobDesk.java
@@ -16,7 +16,14 @@
 import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.serving.ServingRoute;
+import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.peer.generated.JobRead;
+import org.sesamepin.node.peer.generated.JobReadReply;
+import org.sesamepin.node.peer.generated.JobResultEntry;
+import org.sesamepin.node.peer.generated.PeerReply;
+import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.serving.HostLease;
+import org.sesamepin.node.serving.PeerTable;
 import org.sesamepin.node.serving.ServingContext;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.spi.StoreResult;
@@ -50,6 +57,7 @@
     private static final int MAX_TRIES = 6;
     private static final long INDEX_POLL_MS = 8;
     private static final int PAGE_CHARS = 700_000;
+    private static final long OWNER_MARGIN_MS = 250;
     private static final int CACHED_JOBS = 64;
 
     private final ServingContext mNode;
@@ -57,6 +65,8 @@
     private final JobIndex mIndex;
     private final HostLease mLease;
     private final JobOwner mOwner;
+    private final PeerTable mPeers;
+    private final PeerClient mClient;
     private final Map<String, List<Promise<Void>>> mWaiting = new HashMap<>();
     private final Map<String, List<JobResult>> mResults = cache();
     private final Map<String, List<JobItem>> mItems = cache();
@@ -68,12 +78,16 @@
             JobStorage storage,
             JobIndex index,
             HostLease lease,
-            JobOwner owner) {
+            JobOwner owner,
+            PeerTable peers,
+            PeerClient client) {
         mNode = node;
         mStorage = storage;
         mIndex = index;
         mLease = lease;
         mOwner = owner;
+        mPeers = peers;
+        mClient = client;
         index.onChange(this::changed);
     }
 
@@ -237,7 +251,85 @@
      * Empty when the job has ended by itself or its customer and has no more.
      */
     public Future<Page> read(String job, JobSummary summary, int after, long waitMs) {
-        return known(job, summary, after)
+        if (mOwner.owned(job) != null) {
+            return readOwned(job, summary, after, waitMs);
+        }
+        List<JobResult> cached = mResults.getOrDefault(job, List.of());
+        if (cached.size() > after || cached.size() >= summary.total()) {
+            return Future.succeededFuture(page(summary, cached, after));
+        }
+        JobCodec.Owner owner = mIndex.owner(job);
+        PeerTable.Peer peer = owner == null ? null : mPeers.find(owner.host());
+        if (peer == null || mIndex.isEnded(job)) {
+            return readStored(job, summary, after, waitMs);
+        }
+        return askOwner(peer, job, after, waitMs)
+                .compose(
+                        reply -> {
+                            if (!reply.isOwner()) {
+                                return readStored(job, summary, after, waitMs);
+                            }
+                            return Future.succeededFuture(
+                                    new Page(reply.getTotal(), after, results(reply)));
+                        })
+                .recover(
+                        e -> {
+                            LOG.info(
+                                    "step=job-read job={} owner={} outcome=no-answer cause={}",
+                                    job,
+                                    peer.name(),
+                                    e.getMessage());
+                            return readStored(job, summary, after, 0);
+                        });
+    }
+
+    private Future<JobReadReply> askOwner(PeerTable.Peer peer, String job, int after, long waitMs) {
+        PeerRequest request = PeerRequest.jobRead(new JobRead(job, after, waitMs));
+        return mClient.call(peer.address(), request, waitMs + OWNER_MARGIN_MS)
+                .map(PeerReply::getJobRead);
+    }
+
+    private static List<JobResult> results(JobReadReply reply) {
+        List<JobResult> results = new ArrayList<>();
+        for (JobResultEntry entry : reply.getResults()) {
+            results.add(new JobResult(entry.getItemId(), entry.isDone(), entry.getOutput()));
+        }
+        return results;
+    }
+
+    /** Answers another host that asks for results of a job that this host owns. */
+    public Future<PeerReply> answer(JobRead read) {
+        OwnedJob owned = mOwner.owned(read.getJobId());
+        if (owned == null) {
+            return Future.succeededFuture(PeerReply.jobRead(new JobReadReply(false, 0, List.of())));
+        }
+        return readOwned(read.getJobId(), owned.summary(), read.getAfter(), read.getWaitMs())
+                .map(
+                        page -> {
+                            List<JobResultEntry> entries = new ArrayList<>();
+                            for (JobResult result : page.results()) {
+                                entries.add(
+                                        new JobResultEntry(
+                                                result.id(), result.done(), result.output()));
+                            }
+                            return PeerReply.jobRead(new JobReadReply(true, page.total(), entries));
+                        });
+    }
+
+    private Future<Page> readOwned(String job, JobSummary summary, int after, long waitMs) {
+        OwnedJob owned = mOwner.owned(job);
+        if (owned == null) {
+            return readStored(job, summary, after, 0);
+        }
+        List<JobResult> published = owned.progress().published();
+        if (published.size() > after || waitMs <= 0) {
+            return Future.succeededFuture(page(summary, published, after));
+        }
+        return awaitChange(job, waitMs).compose(left -> readOwned(job, summary, after, left));
+    }
+
+    private Future<Page> readStored(String job, JobSummary summary, int after, long waitMs) {
+        return stored(job)
                 .compose(
                         results -> {
                             boolean over = results.size() >= summary.total() || mIndex.isEnded(job);
@@ -245,15 +337,10 @@
                                 return Future.succeededFuture(page(summary, results, after));
                             }
                             return awaitChange(job, waitMs)
-                                    .compose(waited -> readOn(job, summary, after, waited));
+                                    .compose(left -> readStored(job, summary, after, 0));
                         });
     }
 
-    private Future<Page> readOn(String job, JobSummary summary, int after, long waitMs) {
-        JobSummary current = mIndex.job(job);
-        return read(job, current == null ? summary : current, after, waitMs);
-    }
-
     /** Waits for a change of the job; yields how much of {@code waitMs} is left. */
     private Future<Long> awaitChange(String job, long waitMs) {
         long since = mNode.ticker().nanoTime();
@@ -286,15 +373,8 @@
         return new Page(summary.total(), after, page);
     }
 
-    private Future<List<JobResult>> known(String job, JobSummary summary, int after) {
-        OwnedJob owned = mOwner.owned(job);
-        if (owned != null) {
-            return Future.succeededFuture(owned.progress().published());
-        }
-        List<JobResult> cached = mResults.getOrDefault(job, List.of());
-        if (cached.size() > after || cached.size() >= summary.published()) {
-            return Future.succeededFuture(cached);
-        }
+    /** Reads all results of a job from the store. */
+    private Future<List<JobResult>> stored(String job) {
         Future<List<JobResult>> loading = mLoading.get(job);
         if (loading != null) {
             return loading;
@@ -314,7 +394,7 @@
     }
 
     /** Returns the body of an item that has no listed result, or null when there is none. */
-    public Future<byte @Nullable []> body(String job, JobSummary summary, String item) {
+    public Future<byte @Nullable []> body(String job, String item) {
         if (mIndex.isEnded(job)) {
             return Future.succeededFuture(null);
         }
@@ -327,10 +407,7 @@
                 cached != null
                         ? Future.succeededFuture(cached)
                         : mStorage.items(job).onSuccess(loaded -> mItems.put(job, loaded));
-        return items.compose(
-                list ->
-                        known(job, summary, summary.published())
-                                .map(results -> body(list, results, item)));
+        return items.compose(list -> stored(job).map(results -> body(list, results, item)));
     }
 
     private static byte @Nullable [] body(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
@@ -37,6 +37,7 @@
     private static final long CLAIM_MS = 400;
     private static final long ANY_HOST_CLAIMS_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long CLEAN_MS = 5_000;
+    private static final double TOLD_PART = 0.6;
     private static final int SEGMENT_CHARS = 600_000;
 
     /** Slots of a target that batch items leave to online requests that arrive meanwhile. */
@@ -228,7 +229,7 @@
                         job.ownerRevision(),
                         write.number(),
                         write.value(),
-                        write.summary())
+                        isTold(job, write) ? write.summary() : null)
                 .transform(
                         done -> {
                             if (done.succeeded()) {
@@ -243,6 +244,12 @@
                         });
     }
 
+    /** All hosts are told at the end of a job, and when much fewer of its tokens are open. */
+    private static boolean isTold(OwnedJob job, OwnedJob.Write write) {
+        JobSummary after = write.summary();
+        return after.isComplete() || after.openTokens() < job.toldTokens() * TOLD_PART;
+    }
+
     private Future<Void> retry(OwnedJob job, OwnedJob.Write write) {
         if (mOwned.get(job.id()) != job) {
             return Future.succeededFuture();
@@ -292,6 +299,9 @@
     }
 
     private void confirmed(OwnedJob job, OwnedJob.Write write) {
+        if (isTold(job, write)) {
+            job.told(write.summary().openTokens());
+        }
         job.setWrite(null);
         job.setSummary(write.summary());
         job.progress().published(write.results());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -69,16 +69,26 @@
         return mStore.commit(claim);
     }
 
-    /** Appends results, as long as the owner is still the one at {@code ownerRevision}. */
+    /**
+     * Appends results, as long as the owner is still the one at {@code ownerRevision}.
+     *
+     * @param summary the summary that all hosts shall know from now on; null for the former one
+     */
     Future<StoreResult> append(
-            String job, long ownerRevision, int number, byte[] segment, JobSummary summary) {
+            String job,
+            long ownerRevision,
+            int number,
+            byte[] segment,
+            @Nullable JobSummary summary) {
         StoreTransaction append =
                 new StoreTransaction()
                         .ifUnchanged(ServingKeys.owner(job), ownerRevision)
                         .ifAbsent(ServingKeys.segment(job, number))
-                        .put(ServingKeys.segment(job, number), segment, 0)
-                        .put(ServingKeys.job(job), JobCodec.summary(summary), 0);
-        if (summary.isComplete()) {
+                        .put(ServingKeys.segment(job, number), segment, 0);
+        if (summary != null) {
+            append.put(ServingKeys.job(job), JobCodec.summary(summary), 0);
+        }
+        if (summary != null && summary.isComplete()) {
             append.delete(ServingKeys.owner(job));
         }
         return mStore.commit(append);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -14,6 +14,7 @@
     private final JobProgress mProgress;
     private final Map<Integer, ItemRun> mRuns = new HashMap<>();
     private JobSummary mSummary;
+    private long mToldTokens;
     private @Nullable Write mWrite;
 
     /**
@@ -31,6 +32,7 @@
         mOwnerRevision = ownerRevision;
         mSummary = summary;
         mProgress = progress;
+        mToldTokens = summary.openTokens();
     }
 
     String id() {
@@ -57,6 +59,16 @@
         return mRuns;
     }
 
+    /** Returns the open tokens of the job as all hosts know them. */
+    long toldTokens() {
+        return mToldTokens;
+    }
+
+    /** Notes that all hosts know of {@code tokens} open tokens. */
+    void told(long tokens) {
+        mToldTokens = tokens;
+    }
+
     /** Returns the segment that the store has not confirmed, or null. */
     @Nullable Write write() {
         return mWrite;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
@@ -1,11 +1,11 @@
 package org.sesamepin.node.serving;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.time.Ticker;
 
 /**
@@ -67,17 +67,20 @@
         return mPeers.values();
     }
 
+    /** Returns the peer {@code name} when it was heard a short time ago, or null. */
+    public @Nullable Peer find(String name) {
+        Peer peer = mPeers.get(name);
+        return peer != null && isReachable(peer) ? peer : null;
+    }
+
+    private boolean isReachable(Peer peer) {
+        Long at = mHeardAt.get(peer.name());
+        return at != null && mTicker.nanoTime() - at < HEARD_NANOS;
+    }
+
     /** Returns the peers that were heard a short time ago. */
     public List<Peer> reachable() {
-        long now = mTicker.nanoTime();
-        List<Peer> reachable = new ArrayList<>();
-        for (Peer peer : mPeers.values()) {
-            Long at = mHeardAt.get(peer.name());
-            if (at != null && now - at < HEARD_NANOS) {
-                reachable.add(peer);
-            }
-        }
-        return reachable;
+        return mPeers.values().stream().filter(this::isReachable).toList();
     }
 
     /** Returns the reachable peers that the store answers. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -18,16 +18,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tells the peers several times a second what this host has in flight and which configuration it
- * knows, and hears the same of them. A peer with a newer configuration shows that a watch here has
- * missed it.
+ * Tells the peers several times a second what this host has in flight and up to which revision it
+ * knows the store, and hears the same of them. A peer that is further shows that a watch here has
+ * missed a change.
  */
 public final class ReportExchange implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ReportExchange.class);
     private static final long TICK_MS = 100;
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long TIMEOUT_MS = 400;
-    private static final long CATCH_UP_MS = 80;
+    private static final long CATCH_UP_MS = 250;
 
     /** Peers told in one round; larger fleets are told in turns. */
     private static final int MAX_PEERS = 12;
@@ -40,7 +40,7 @@
     private final LoadTable mLoads;
     private final long mIncarnation;
     private final BooleanSupplier mStoreReachable;
-    private final Runnable mConfigMissed;
+    private final List<StoreMirror> mMirrors;
     private final Set<String> mSilent = new HashSet<>();
     private List<InFlight> mLastSent = List.of();
     private long mLastSentAt;
@@ -49,7 +49,7 @@
     private int mTurn;
     private boolean mCatchingUp;
 
-    /** Creates an exchange; {@code configMissed} runs when a peer knows a newer configuration. */
+    /** Creates an exchange; a mirror that is behind those of a peer lists again. */
     public ReportExchange(
             Vertx vertx,
             Ticker ticker,
@@ -59,7 +59,7 @@
             LoadTable loads,
             long incarnation,
             BooleanSupplier storeReachable,
-            Runnable configMissed) {
+            List<StoreMirror> mirrors) {
         mVertx = vertx;
         mTicker = ticker;
         mState = state;
@@ -68,7 +68,7 @@
         mLoads = loads;
         mIncarnation = incarnation;
         mStoreReachable = storeReachable;
-        mConfigMissed = configMissed;
+        mMirrors = mirrors;
     }
 
     /** Starts telling the peers. */
@@ -111,7 +111,8 @@
                 mIncarnation,
                 mState.config().version(),
                 mStoreReachable.getAsBoolean(),
-                own);
+                own,
+                revisions());
     }
 
     /** Answers a peer's report with this host's own. */
@@ -126,23 +127,43 @@
         }
         mPeers.heard(report.getHost(), report.isStoreReachable());
         mLoads.reported(report);
-        if (report.getConfigVersion() > mState.config().version() && !mCatchingUp) {
+        if (isBehind(report) && !mCatchingUp) {
             mCatchingUp = true;
             mVertx.setTimer(CATCH_UP_MS, t -> catchUp(report));
         }
     }
 
+    private List<Long> revisions() {
+        return mMirrors.stream().map(StoreMirror::contentRevision).toList();
+    }
+
+    private boolean isBehind(HostReport report) {
+        List<Long> theirs = report.getWatchedRevisions();
+        for (int i = 0; i < mMirrors.size() && i < theirs.size(); i++) {
+            if (theirs.get(i) > mMirrors.get(i).contentRevision()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Lists what is still behind after the time that a watch needs to bring it. */
     private void catchUp(HostReport report) {
         mCatchingUp = false;
-        if (report.getConfigVersion() <= mState.config().version()) {
-            return;
+        List<Long> theirs = report.getWatchedRevisions();
+        for (int i = 0; i < mMirrors.size() && i < theirs.size(); i++) {
+            StoreMirror mirror = mMirrors.get(i);
+            if (theirs.get(i) > mirror.contentRevision()) {
+                LOG.info(
+                        "step=store-watch prefix={} peer={} peer_revision={} revision={}"
+                                + " outcome=missed",
+                        mirror.prefix(),
+                        report.getHost(),
+                        theirs.get(i),
+                        mirror.contentRevision());
+                mirror.refresh();
+            }
         }
-        LOG.info(
-                "step=config peer={} peer_version={} version={} outcome=missed",
-                report.getHost(),
-                report.getConfigVersion(),
-                mState.config().version());
-        mConfigMissed.run();
     }
 
     private void silent(PeerTable.Peer peer, Throwable e) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -93,7 +93,7 @@
         mJobOwner =
                 mCloser.add(
                         new JobOwner(mContext, storage, index, mLease, settings.jobRetentionMs()));
-        mJobDesk = new JobDesk(mContext, storage, index, mLease, mJobOwner);
+        mJobDesk = new JobDesk(mContext, storage, index, mLease, mJobOwner, mPeers, mPeerClient);
         mControlMirror =
                 mirror(
                         ServingKeys.CONTROL,
@@ -109,7 +109,7 @@
                                 mLoads,
                                 incarnation,
                                 store::isDirectlyReachable,
-                                mConfigMirror::refresh));
+                                List.of(mConfigMirror, mTargetMirror, mControlMirror)));
     }
 
     private ServingContext newContext() {
@@ -168,6 +168,7 @@
                 PeerRequest._Fields.REPORT,
                 r -> Future.succeededFuture(mReports.answer(r.getReport())));
         server.on(PeerRequest._Fields.LOAN, r -> Future.succeededFuture(mRates.lend(r.getLoan())));
+        server.on(PeerRequest._Fields.JOB_READ, r -> mJobDesk.answer(r.getJobRead()));
         server.on(PeerRequest._Fields.STORE_RELAY, r -> mDetour.relay(r.getStoreRelay()));
         HealthServer health = new HealthServer(mVertx, mState, mMetrics);
         registerGauges();
@@ -209,9 +210,9 @@
 
     private void storeSilent() {
         mStore.reconnect();
-        mConfigMirror.restart();
-        mTargetMirror.restart();
-        mControlMirror.restart();
+        mConfigMirror.refresh();
+        mTargetMirror.refresh();
+        mControlMirror.refresh();
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -2,7 +2,9 @@
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.ThreadLocalRandom;
+import org.sesamepin.node.spi.StoreChange;
 import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.WatchableStore;
 import org.slf4j.Logger;
@@ -23,6 +25,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(StoreMirror.class);
+    private static final long UNLISTED = -1;
     private static final long WATCH_MS = 20_000;
     private static final long MIN_BACKOFF_MS = 60;
     private static final long MAX_BACKOFF_MS = 700;
@@ -31,7 +34,8 @@
     private final WatchableStore mStore;
     private final String mPrefix;
     private final Listener mListener;
-    private long mRevision = -1;
+    private long mRevision = UNLISTED;
+    private long mContentRevision = UNLISTED;
     private long mRound;
     private int mFailures;
     private boolean mClosed;
@@ -49,23 +53,27 @@
         next(mRound);
     }
 
-    /** Lists again at once: somebody knows of a change that has not arrived here. */
+    /** Lists again at once: a change may have been missed. */
     public void refresh() {
-        mRevision = -1;
-        restart();
-    }
-
-    /** Makes the waiting call again, on a new connection. */
-    public void restart() {
+        mRevision = UNLISTED;
         mRound++;
         next(mRound);
     }
 
+    public String prefix() {
+        return mPrefix;
+    }
+
+    /** Returns the revision of the latest content that is known; -1 before the first listing. */
+    public long contentRevision() {
+        return mContentRevision;
+    }
+
     private void next(long round) {
         if (mClosed || round != mRound) {
             return;
         }
-        if (mRevision < 0) {
+        if (mRevision == UNLISTED) {
             mStore.list(mPrefix)
                     .onSuccess(listing -> listed(round, listing))
                     .onFailure(e -> failed(round, e));
@@ -81,6 +89,9 @@
             return;
         }
         mRevision = listing.revision();
+        for (StoreEntry entry : listing.entries()) {
+            mContentRevision = Math.max(mContentRevision, entry.modRevision());
+        }
         mListener.listed(listing, recovered());
         next(round);
     }
@@ -91,9 +102,12 @@
         }
         if (changes.historyLost()) {
             LOG.info("step=store-watch prefix={} outcome=history-lost", mPrefix);
-            mRevision = -1;
+            mRevision = UNLISTED;
         } else {
             mRevision = changes.revision();
+            for (StoreChange change : changes.changes()) {
+                mContentRevision = Math.max(mContentRevision, change.revision());
+            }
             mListener.changed(changes, recovered());
         }
         next(round);
@@ -113,6 +127,8 @@
             return;
         }
         mFailures++;
+        // The store may have dropped its history while the watch was cut, without saying so.
+        mRevision = UNLISTED;
         if (mFailures == 1) {
             LOG.warn("step=store-watch prefix={} outcome=lost cause={}", mPrefix, e.getMessage());
         }
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -186,6 +186,8 @@
   3: i64 configVersion
   4: bool storeReachable
   5: list<InFlight> inFlight
+  // Latest revisions of the store that the host has seen below each prefix that all hosts watch.
+  6: list<i64> watchedRevisions
 }
 
 // Asks a peer for a part of its tokens of one customer's rate.
@@ -211,6 +213,25 @@
   2: binary body
 }
 
+// Asks a job's owner for published results.
+struct JobRead {
+  1: string jobId
+  2: i32 after
+  3: i64 waitMs
+}
+
+struct JobResultEntry {
+  1: string itemId
+  2: bool done
+  3: string output
+}
+
+struct JobReadReply {
+  1: bool owner
+  2: i32 total
+  3: list<JobResultEntry> results
+}
+
 struct Done {
 }
 
@@ -235,6 +256,7 @@
   13: HostReport report
   14: LoanRequest loan
   15: StoreRelay storeRelay
+  16: JobRead jobRead
 }
 
 union PeerReply {
@@ -250,6 +272,7 @@
   10: HostReport report
   11: LoanReply loan
   12: StoreRelayReply storeRelay
+  13: JobReadReply jobRead
 }
 
 struct PeerFrame {
