--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/SharedRate.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/SharedRate.java
@@ -10,17 +10,22 @@
  */
 public final class SharedRate {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
-    private static final long LOAN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-    private static final double LENDABLE_PART = 0.5;
+    private static final long LOAN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    private static final double INITIAL_PART = 0.5;
 
     private double mLevel;
     private double mBorrowed;
     private long mBorrowedAt;
     private long mAdvancedAt;
 
-    /** Creates an empty bucket: what a former process of this host spent is not known. */
-    public SharedRate(long now) {
+    /**
+     * Creates a bucket that holds half of this host's share of the burst: what a former process of
+     * the host spent is not known.
+     */
+    public SharedRate(double burst, long now) {
+        mLevel = burst * INITIAL_PART;
         mAdvancedAt = now;
+        mBorrowedAt = now;
     }
 
     /**
@@ -54,7 +59,7 @@
 
     /** Gives up at most {@code wanted} tokens to another host; returns how many. */
     public double lend(double wanted) {
-        double lent = Math.max(0, Math.min(wanted, mLevel * LENDABLE_PART));
+        double lent = Math.max(0, Math.min(wanted, mLevel));
         mLevel -= lent;
         return lent;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/RateDesk.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/RateDesk.java
@@ -29,7 +29,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RateDesk.class);
     private static final long ASK_TIMEOUT_MS = 120;
     private static final long REFUSAL_CACHE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
-    private static final int MAX_LENDERS = 8;
+    private static final int MAX_LENDERS = 3;
     private static final double LOAN_SECONDS = 0.25;
     private static final Admission FROM_SHARE = new Admission(true, 0, "own-share");
     private static final Admission FROM_LOAN = new Admission(true, 0, "lent");
@@ -40,8 +40,8 @@
         private @Nullable Future<Double> mAsking;
         private long mRefusedUntil;
 
-        Entry(long now) {
-            mRate = new SharedRate(now);
+        Entry(double burst, long now) {
+            mRate = new SharedRate(burst, now);
             mRefusedUntil = now;
         }
     }
@@ -77,14 +77,31 @@
         if (mTicker.nanoTime() - entry.mRefusedUntil < 0 || mPeers.reachable().isEmpty()) {
             return Future.succeededFuture(refused(customer, entry));
         }
-        return borrow(customer, entry).map(lent -> afterLoan(customer, entry));
+        List<PeerTable.Peer> lenders = new ArrayList<>(mPeers.reachable());
+        Collections.shuffle(lenders);
+        return borrowAndTake(customer, entry, lenders);
     }
 
-    private Admission afterLoan(CustomerSpec customer, Entry entry) {
-        advanced(customer);
-        if (entry.mRate.take()) {
-            return FROM_LOAN;
-        }
+    /** Asks a few hosts after the other until one of them has lent a token. */
+    private Future<Admission> borrowAndTake(
+            CustomerSpec customer, Entry entry, List<PeerTable.Peer> lenders) {
+        int count = Math.min(MAX_LENDERS, lenders.size());
+        List<PeerTable.Peer> first = lenders.subList(0, count);
+        List<PeerTable.Peer> rest = lenders.subList(count, lenders.size());
+        return borrow(customer, entry, first)
+                .compose(
+                        lent -> {
+                            advanced(customer);
+                            if (entry.mRate.take()) {
+                                return Future.succeededFuture(FROM_LOAN);
+                            }
+                            return rest.isEmpty()
+                                    ? Future.succeededFuture(afterLoans(customer, entry))
+                                    : borrowAndTake(customer, entry, rest);
+                        });
+    }
+
+    private Admission afterLoans(CustomerSpec customer, Entry entry) {
         entry.mRefusedUntil = mTicker.nanoTime() + REFUSAL_CACHE_NANOS;
         return refused(customer, entry);
     }
@@ -96,24 +113,24 @@
 
     private Entry advanced(CustomerSpec customer) {
         long now = mTicker.nanoTime();
-        Entry entry = mEntries.computeIfAbsent(customer.name(), name -> new Entry(now));
         int sharers = mPeers.sharers();
-        entry.mRate.advance(customer.ratePerS() / sharers, customer.burst() / sharers, now);
+        double burst = customer.burst() / sharers;
+        Entry entry = mEntries.computeIfAbsent(customer.name(), name -> new Entry(burst, now));
+        entry.mRate.advance(customer.ratePerS() / sharers, burst, now);
         return entry;
     }
 
-    private Future<Double> borrow(CustomerSpec customer, Entry entry) {
+    private Future<Double> borrow(
+            CustomerSpec customer, Entry entry, List<PeerTable.Peer> lenders) {
         Future<Double> asking = entry.mAsking;
         if (asking != null) {
             return asking;
         }
-        List<PeerTable.Peer> lenders = new ArrayList<>(mPeers.reachable());
-        Collections.shuffle(lenders);
-        int count = Math.min(MAX_LENDERS, lenders.size());
+        int count = lenders.size();
         double share = customer.ratePerS() * LOAN_SECONDS / mPeers.sharers();
-        double wanted = Math.max(1, share / count + 1);
+        double wanted = 1 + share / count;
         List<Future<Double>> loans = new ArrayList<>();
-        for (PeerTable.Peer lender : lenders.subList(0, count)) {
+        for (PeerTable.Peer lender : lenders) {
             loans.add(ask(lender, customer.name(), wanted, entry));
         }
         Promise<Double> promise = Promise.promise();
