Let one host coordinate the places of a service

Cause: late first pieces came where several hosts chose the same target from reports that were up to 100 ms old (placements logged at occupancy 0.375 with first pieces after 800 ms). Ruled out: slow targets alone, the network, the hosts' processor time. Each service now has one host that places the requests of all: exact counts, batch items give way at once, what cannot be served in time is refused at once, items get their places by due time. State is soft; without its answer a host chooses by itself from the reports.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -91,6 +91,18 @@
         return -1;
     }
 
+    /** Returns the number of items that could run now. */
+    public int waiting(long now) {
+        int waiting = 0;
+        for (Item item : mItems) {
+            boolean waits = item.mBackedOff && now - item.mNotBefore < 0;
+            if (item.mState == State.OPEN && !waits) {
+                waiting++;
+            }
+        }
+        return waiting;
+    }
+
     /** Returns item {@code index}. */
     public JobItem item(int index) {
         return mItems.get(index).mItem;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/serving/ServingConfig.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/serving/ServingConfig.java
@@ -1,6 +1,7 @@
 package org.sesamepin.core.serving;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -127,6 +128,11 @@
         return mServices.get(name);
     }
 
+    /** Returns all services. */
+    public Collection<ServiceSpec> services() {
+        return mServices.values();
+    }
+
     /** Returns all routes by name. */
     public Map<String, ServingRoute> routes() {
         return mRoutesByName;
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -0,0 +1,273 @@
+package org.sesamepin.core.target;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places the requests of all hosts on the targets of one service, which admit requests in the order
+ * of their arrival and know no ranks. Answers pulses that fill all targets: batch items give way at
+ * once, then online requests wait here for the first free slot, and what cannot be served in time
+ * is refused at once. All state is soft: another host can go on from the reports alone. Not
+ * thread-safe.
+ */
+public final class ServiceCoordinator {
+    /**
+     * An online request that wants a target.
+     *
+     * @param id id of the request
+     * @param host host that sends it
+     * @param rank urgency; 0 is the most urgent
+     * @param returned whether its caller was refused before
+     * @param latencyNanos time within which the first piece is on time
+     * @param deadline when the caller stops waiting
+     * @param excluded incarnations of targets that must not get it
+     */
+    public record Ask(
+            String id,
+            String host,
+            int rank,
+            boolean returned,
+            long latencyNanos,
+            long deadline,
+            Set<String> excluded) {}
+
+    /**
+     * A place for one request.
+     *
+     * @param askId id of the online request; empty for a batch item
+     * @param host host that sends the request
+     * @param target target that gets it
+     * @param occupancy requests at the target for each of its slots, before this one
+     * @param suspendAt host that has to suspend a batch item there; empty for none
+     */
+    public record Grant(
+            String askId, String host, TargetInstance target, double occupancy, String suspendAt) {}
+
+    /**
+     * Answer to an ask.
+     *
+     * @param grant the place; null when there is none yet
+     * @param refused whether the request had better not wait
+     * @param retryAfterNanos when the caller of a refused request had better return
+     */
+    public record Answer(@Nullable Grant grant, boolean refused, long retryAfterNanos) {}
+
+    /** Requests that may wait at a target, so that a slot is not idle until the next grant. */
+    private static final int QUEUED_AT_TARGET = 1;
+
+    /** Slots of a target that batch items leave to online requests that come meanwhile. */
+    private static final int RESERVED_SLOTS = 1;
+
+    /** Part of the latency objective that a request may wait here and yet be on time. */
+    private static final double WAITABLE_PART = 0.6;
+
+    private static final int MAX_QUEUE = 400;
+    private static final long FIRST_SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final double GAIN = 0.1;
+    private static final double REMOTE_COST = 0.04;
+
+    private static final Comparator<Ask> ORDER =
+            Comparator.comparingInt(Ask::rank)
+                    .thenComparing(ask -> !ask.returned())
+                    .thenComparingLong(Ask::deadline);
+
+    private record Demand(int items, long due) {}
+
+    private final HostLoads mLoads = new HostLoads();
+    private final List<Ask> mQueue = new ArrayList<>();
+    private final Map<String, Demand> mDemand = new HashMap<>();
+    private double mServiceNanos = FIRST_SERVICE_NANOS;
+
+    /** Takes in how long an online request took from its send to its end. */
+    public void observeService(long nanos) {
+        mServiceNanos += GAIN * (nanos - mServiceNanos);
+    }
+
+    /**
+     * Takes in a host's report.
+     *
+     * @param online online requests in flight, by incarnation of the target
+     * @param batch batch items in flight, by incarnation of the target
+     * @param waitingItems batch items that wait at the host for a place
+     * @param due when the first of them is due
+     */
+    public void reported(
+            String host,
+            Map<String, Integer> online,
+            Map<String, Integer> batch,
+            int waitingItems,
+            long due,
+            long now) {
+        Set<String> targets = new HashSet<>(online.keySet());
+        targets.addAll(batch.keySet());
+        Map<String, HostLoads.Count> counts = new HashMap<>();
+        for (String target : targets) {
+            int onlineCount = online.getOrDefault(target, 0);
+            int batchCount = batch.getOrDefault(target, 0);
+            counts.put(target, new HostLoads.Count(onlineCount, batchCount));
+        }
+        mLoads.reported(host, counts, now);
+        if (waitingItems > 0) {
+            mDemand.put(host, new Demand(waitingItems, due));
+        } else {
+            mDemand.remove(host);
+        }
+    }
+
+    /** Places an online request, lets it wait, or refuses it. */
+    public Answer ask(Ask ask, List<TargetInstance> targets, Set<String> avoided, long now) {
+        dropExpired(now);
+        Grant grant = place(ask, targets, avoided, now);
+        if (grant != null) {
+            return new Answer(grant, false, 0);
+        }
+        long wait = predictedWait(ask, targets);
+        boolean late = wait > ask.latencyNanos() * WAITABLE_PART;
+        boolean hopeless = now + wait - ask.deadline() >= 0;
+        boolean refused = hopeless || mQueue.size() >= MAX_QUEUE || (late && !ask.returned());
+        if (refused || targets.isEmpty()) {
+            return new Answer(null, true, wait);
+        }
+        mQueue.add(ask);
+        mQueue.sort(ORDER);
+        return new Answer(null, false, 0);
+    }
+
+    private long predictedWait(Ask ask, List<TargetInstance> targets) {
+        int slots = 0;
+        for (TargetInstance target : targets) {
+            slots += target.slots();
+        }
+        long before = mQueue.stream().filter(other -> ORDER.compare(other, ask) <= 0).count();
+        return (long) ((before + 1) * mServiceNanos / Math.max(1, slots));
+    }
+
+    private void dropExpired(long now) {
+        mQueue.removeIf(ask -> now - ask.deadline() >= 0);
+    }
+
+    /** Forgets a request that waits. */
+    public void withdraw(String askId) {
+        mQueue.removeIf(ask -> ask.id().equals(askId));
+    }
+
+    private @Nullable Grant place(
+            Ask ask, List<TargetInstance> targets, Set<String> avoided, long now) {
+        Map<String, HostLoads.Count> totals = mLoads.totals(now);
+        TargetInstance best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (TargetInstance target : targets) {
+            HostLoads.Count count = totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
+            int limit = target.slots() + QUEUED_AT_TARGET;
+            boolean room = count.online() < limit;
+            if (!room || isExcluded(ask, target, avoided)) {
+                continue;
+            }
+            // A batch item there gives way, so it counts less than an online request.
+            double cost = (count.online() + count.batch() * REMOTE_COST) / target.slots();
+            boolean full = count.online() + count.batch() >= target.slots();
+            cost += full ? (count.batch() > 0 ? 1 : 2) : 0;
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = target;
+            }
+        }
+        return best == null ? null : grant(ask, best, totals, now);
+    }
+
+    private static boolean isExcluded(Ask ask, TargetInstance target, Set<String> avoided) {
+        String incarnation = target.incarnation();
+        return ask.excluded().contains(incarnation) || avoided.contains(incarnation);
+    }
+
+    private Grant grant(
+            Ask ask, TargetInstance target, Map<String, HostLoads.Count> totals, long now) {
+        HostLoads.Count count = totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
+        int total = count.online() + count.batch();
+        String suspendAt = "";
+        if (total >= target.slots() && count.batch() > 0) {
+            suspendAt = mLoads.hostOfBatch(target.incarnation());
+            mLoads.suspended(suspendAt, target.incarnation());
+        }
+        mLoads.granted(ask.host(), target.incarnation(), false, now);
+        double occupancy = (double) total / Math.max(1, target.slots());
+        return new Grant(ask.id(), ask.host(), target, occupancy, suspendAt);
+    }
+
+    /** Returns places for what waits: online requests first, then batch items by due time. */
+    public List<Grant> grants(List<TargetInstance> targets, Set<String> avoided, long now) {
+        dropExpired(now);
+        List<Grant> grants = new ArrayList<>();
+        for (Ask ask : List.copyOf(mQueue)) {
+            Grant grant = place(ask, targets, avoided, now);
+            if (grant != null) {
+                mQueue.remove(ask);
+                grants.add(grant);
+            }
+        }
+        if (mQueue.isEmpty()) {
+            placeItems(targets, avoided, now, grants);
+        }
+        return grants;
+    }
+
+    private void placeItems(
+            List<TargetInstance> targets, Set<String> avoided, long now, List<Grant> grants) {
+        while (!mDemand.isEmpty()) {
+            Map<String, HostLoads.Count> totals = mLoads.totals(now);
+            TargetInstance best = null;
+            double least = Double.MAX_VALUE;
+            for (TargetInstance target : targets) {
+                HostLoads.Count count =
+                        totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
+                int total = count.online() + count.batch();
+                boolean room = total + RESERVED_SLOTS < target.slots();
+                double occupancy = (double) total / Math.max(1, target.slots());
+                if (room && !avoided.contains(target.incarnation()) && occupancy < least) {
+                    least = occupancy;
+                    best = target;
+                }
+            }
+            if (best == null) {
+                return;
+            }
+            String host = firstDue();
+            Demand demand = mDemand.get(host);
+            if (demand == null) {
+                return;
+            }
+            if (demand.items() > 1) {
+                mDemand.put(host, new Demand(demand.items() - 1, demand.due()));
+            } else {
+                mDemand.remove(host);
+            }
+            mLoads.granted(host, best.incarnation(), true, now);
+            grants.add(new Grant("", host, best, least, ""));
+        }
+    }
+
+    private String firstDue() {
+        String first = "";
+        long due = Long.MAX_VALUE;
+        for (Map.Entry<String, Demand> entry : mDemand.entrySet()) {
+            boolean earlier = first.isEmpty() || entry.getValue().due() < due;
+            if (earlier) {
+                first = entry.getKey();
+                due = entry.getValue().due();
+            }
+        }
+        return first;
+    }
+
+    /** Returns the number of online requests that wait. */
+    public int queued() {
+        return mQueue.size();
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
@@ -17,9 +17,10 @@
 import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.membership.Rendezvous;
+import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingRoute;
-import org.sesamepin.core.target.Placement;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.serving.BatchWork;
 import org.sesamepin.node.serving.HostLease;
 import org.sesamepin.node.serving.ServingContext;
 import org.sesamepin.node.spi.StoreResult;
@@ -30,14 +31,15 @@
  * Runs the items of the jobs that this host owns on slots that online requests leave free,
  * publishes their results, and takes over jobs whose owner is gone. Confined to the event loop.
  */
-public final class JobOwner implements AutoCloseable {
+public final class JobOwner implements AutoCloseable, BatchWork {
     private static final Logger LOG = LoggerFactory.getLogger(JobOwner.class);
     private static final long PUMP_MS = 50;
-    private static final long PUBLISH_MS = 400;
+    private static final long PUBLISH_MS = 1_000;
+    private static final long RETRY_MS = 300;
     private static final long CLAIM_MS = 400;
     private static final long ANY_HOST_CLAIMS_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long CLEAN_MS = 5_000;
-    private static final double TOLD_PART = 0.6;
+    private static final double TOLD_PART = 0.04;
     private static final int SEGMENT_CHARS = 600_000;
 
     /** Slots of a target that batch items leave to online requests that arrive meanwhile. */
@@ -52,6 +54,7 @@
     private final Set<String> mClaiming = new HashSet<>();
     private final Map<String, Long> mOwnerlessSince = new HashMap<>();
     private final List<Long> mTimers = new ArrayList<>();
+    private Runnable mItemsWait = () -> {};
     private boolean mStopping;
 
     /** Creates an owner without jobs. */
@@ -68,8 +71,13 @@
         mRetentionMs = retentionMs;
     }
 
-    /** Starts running, publishing and taking over. */
-    public void start() {
+    /**
+     * Starts running, publishing and taking over.
+     *
+     * @param itemsWait runs when items have come to wait for a place
+     */
+    public void start(Runnable itemsWait) {
+        mItemsWait = itemsWait;
         mIndex.onChange(this::changed);
         every(PUMP_MS, this::pump);
         every(PUBLISH_MS, this::publishAll);
@@ -99,6 +107,7 @@
     void add(OwnedJob job) {
         mOwned.put(job.id(), job);
         pump();
+        mItemsWait.run();
     }
 
     private void changed(String id) {
@@ -120,7 +129,7 @@
         }
     }
 
-    /** Lets one item of this host at {@code target} give its slot to an online request. */
+    @Override
     public boolean suspendOne(TargetInstance target) {
         for (OwnedJob job : mOwned.values()) {
             for (ItemRun run : job.runs().values()) {
@@ -133,44 +142,91 @@
         return false;
     }
 
+    private List<OwnedJob> byDueTime() {
+        List<OwnedJob> jobs = new ArrayList<>(mOwned.values());
+        jobs.sort(Comparator.comparingLong(this::dueAtMs));
+        return jobs;
+    }
+
+    private long dueAtMs(OwnedJob job) {
+        ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
+        return job.summary().acceptedAtMs() + (route == null ? 0 : route.completionMs());
+    }
+
+    @Override
+    public boolean runOne(String service, TargetInstance target) {
+        if (mStopping) {
+            return false;
+        }
+        for (OwnedJob job : byDueTime()) {
+            ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
+            int index = job.progress().next(mNode.ticker().nanoTime());
+            if (route != null && index >= 0 && route.sendsTo(service)) {
+                run(job, index, route, target);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void run(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
+        new ItemRun(mNode, job, index, route, target, () -> runEnded(job)).start();
+    }
+
+    @Override
+    public Map<String, Integer> waiting() {
+        Map<String, Integer> waiting = new HashMap<>();
+        if (mStopping) {
+            return waiting;
+        }
+        for (OwnedJob job : mOwned.values()) {
+            ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
+            int open = job.progress().waiting(mNode.ticker().nanoTime());
+            if (route == null || open == 0) {
+                continue;
+            }
+            for (ServiceShare share : route.shares()) {
+                waiting.merge(share.service(), open, Integer::sum);
+            }
+        }
+        return waiting;
+    }
+
+    @Override
+    public long dueInMs() {
+        long now = System.currentTimeMillis();
+        return byDueTime().stream().findFirst().map(job -> dueAtMs(job) - now).orElse(0L);
+    }
+
     private void pump() {
         if (mStopping || mOwned.isEmpty()) {
             return;
         }
-        List<OwnedJob> jobs = new ArrayList<>(mOwned.values());
-        jobs.sort(Comparator.comparingLong(job -> job.summary().acceptedAtMs()));
-        for (OwnedJob job : jobs) {
-            if (!pump(job)) {
-                return;
+        for (OwnedJob job : byDueTime()) {
+            ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
+            if (route == null) {
+                giveUpRest(job, "route-removed");
+            } else if (isTooOld(job, route)) {
+                giveUpRest(job, "retention-over");
+            } else {
+                runUncoordinated(job, route);
             }
         }
     }
 
-    /** Starts as many items of {@code job} as there is room; false when there is none left. */
-    private boolean pump(OwnedJob job) {
-        ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
-        if (route == null) {
-            giveUpRest(job, "route-removed");
-            return true;
-        }
-        if (isTooOld(job, route)) {
-            giveUpRest(job, "retention-over");
-            return true;
-        }
+    /** Starts items of services whose places nobody coordinates. */
+    private void runUncoordinated(OwnedJob job, ServingRoute route) {
         long now = mNode.ticker().nanoTime();
         int index = job.progress().next(now);
         while (index >= 0) {
             String service = route.service(ThreadLocalRandom.current().nextDouble());
-            List<TargetInstance> targets = mNode.state().targets().ready(service);
-            Placement.Choice choice =
-                    mNode.placement().batch(targets, Set.of(), RESERVED_SLOTS, now);
-            if (choice == null) {
-                return false;
+            TargetInstance target = mNode.places().uncoordinatedTarget(service, RESERVED_SLOTS);
+            if (target == null) {
+                return;
             }
-            new ItemRun(mNode, job, index, route, choice.target(), () -> runEnded(job)).start();
+            run(job, index, route, target);
             index = job.progress().next(now);
         }
-        return true;
     }
 
     private void runEnded(OwnedJob job) {
@@ -218,7 +274,11 @@
                 new JobCodec.Segment(mLease.incarnation(), results, job.progress().failures());
         OwnedJob.Write write =
                 new OwnedJob.Write(
-                        summary.segments(), results.size(), JobCodec.segment(segment), after);
+                        summary.segments(),
+                        results.size(),
+                        JobCodec.segment(segment),
+                        after,
+                        isTold(job, after));
         job.setWrite(write);
         return send(job, write);
     }
@@ -229,7 +289,7 @@
                         job.ownerRevision(),
                         write.number(),
                         write.value(),
-                        isTold(job, write) ? write.summary() : null)
+                        write.told() ? write.summary() : null)
                 .transform(
                         done -> {
                             if (done.succeeded()) {
@@ -244,10 +304,15 @@
                         });
     }
 
-    /** All hosts are told at the end of a job, and when much fewer of its tokens are open. */
-    private static boolean isTold(OwnedJob job, OwnedJob.Write write) {
-        JobSummary after = write.summary();
-        return after.isComplete() || after.openTokens() < job.toldTokens() * TOLD_PART;
+    /**
+     * All hosts are told at the end of a job, and when its open tokens have fallen so far that it
+     * matters for the limit of what a customer may have waiting.
+     */
+    private boolean isTold(OwnedJob job, JobSummary after) {
+        ServingRoute route = mNode.state().config().routeNamed(after.route());
+        long limit = route == null ? 0 : route.queuedTokens();
+        long fallen = job.toldTokens() - after.openTokens();
+        return after.isComplete() || (limit > 0 && fallen > limit * TOLD_PART);
     }
 
     private Future<Void> retry(OwnedJob job, OwnedJob.Write write) {
@@ -255,7 +320,7 @@
             return Future.succeededFuture();
         }
         return mNode.vertx()
-                .timer(PUBLISH_MS, TimeUnit.MILLISECONDS)
+                .timer(RETRY_MS, TimeUnit.MILLISECONDS)
                 .compose(
                         t -> {
                             boolean current = mOwned.get(job.id()) == job && !mStopping;
@@ -299,7 +364,7 @@
     }
 
     private void confirmed(OwnedJob job, OwnedJob.Write write) {
-        if (isTold(job, write)) {
+        if (write.told()) {
             job.told(write.summary().openTokens());
         }
         job.setWrite(null);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -24,8 +24,9 @@
      * @param results how many results it holds
      * @param value its value
      * @param summary the job's summary after it
+     * @param told whether all hosts are told the summary
      */
-    record Write(int number, int results, byte[] value, JobSummary summary) {}
+    record Write(int number, int results, byte[] value, JobSummary summary, boolean told) {}
 
     OwnedJob(String id, long ownerRevision, JobSummary summary, JobProgress progress) {
         mId = id;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -139,8 +139,8 @@
             return;
         }
         mRunning++;
-        String name = customer == null ? null : customer.name();
-        new Exchange(mNode, request, head, body, route, name, arrivedAt, () -> mRunning--).start();
+        new Exchange(mNode, request, head, body, route, customer, arrivedAt, () -> mRunning--)
+                .start();
     }
 
     private void overRate(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -4,7 +4,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -12,9 +11,9 @@
 import org.sesamepin.core.call.CallPolicy;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.core.serving.CustomerSpec;
 import org.sesamepin.core.serving.RouteKind;
 import org.sesamepin.core.serving.ServingRoute;
-import org.sesamepin.core.target.Placement;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -28,9 +27,7 @@
 final class Exchange implements TargetAttempt.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
 
-    /** Requests of all hosts for each slot of a target above which it gets no online request. */
-    private static final double MAX_OCCUPANCY = 2.0;
-
+    private static final double FIRST_BUDGET_PART = 0.95;
     private static final long MIN_BUDGET_MS = 5;
     private static final long MIN_RETRY_MS = 150;
     private static final long RETRY_SPREAD_MS = 700;
@@ -44,6 +41,7 @@
     private final ServingRoute mRoute;
     private final String mService;
     private final @Nullable String mCustomer;
+    private final int mRank;
     private final long mArrivedAt;
     private final CallPolicy mPolicy;
     private final Runnable mOnEnd;
@@ -53,6 +51,8 @@
     private long mLastEventId;
     private long mDeadlineTimer = -1;
     private long mFirstMs = -1;
+    private long mSentAt;
+    private long mRetryAfterMs;
     private boolean mEnded;
 
     Exchange(
@@ -61,7 +61,7 @@
             CallHead head,
             Buffer body,
             ServingRoute route,
-            @Nullable String customer,
+            @Nullable CustomerSpec customer,
             long arrivedAt,
             Runnable onEnd) {
         mNode = node;
@@ -69,7 +69,9 @@
         mHead = head;
         mBody = body;
         mRoute = route;
-        mCustomer = customer;
+        mCustomer = customer == null ? null : customer.name();
+        Integer rank = customer == null ? null : customer.rank();
+        mRank = rank == null ? route.rank() : rank;
         mArrivedAt = arrivedAt;
         mOnEnd = onEnd;
         mService = route.service(ThreadLocalRandom.current().nextDouble());
@@ -103,46 +105,51 @@
             act(mPolicy.timedOut(), "no time left");
             return;
         }
-        List<TargetInstance> targets = mNode.state().targets().ready(mService);
-        Placement.Choice choice = mNode.placement().online(targets, mTried, now());
-        if (choice != null && choice.occupancy() >= 1) {
-            choice = withPreemption(targets, choice);
-        }
-        boolean full = choice != null && choice.occupancy() >= MAX_OCCUPANCY;
-        if (choice == null || full) {
-            act(mPolicy.noTarget(), full ? "all targets are full" : "no target is left");
-            return;
-        }
-        sendTo(choice, left);
+        PlaceRequest request =
+                new PlaceRequest(
+                        mHead.id(),
+                        mService,
+                        mRank,
+                        hasReturned(),
+                        mRoute.latencyMs(),
+                        left,
+                        Set.copyOf(mTried));
+        mNode.places().place(request).onComplete(done -> placed(done.result()));
     }
 
-    private Placement.Choice withPreemption(
-            List<TargetInstance> targets, Placement.Choice fullest) {
-        TargetInstance target = mNode.placement().preemptible(targets, now());
-        if (target == null || mTried.contains(target.incarnation())) {
-            return fullest;
+    /** A caller that was refused comes back with less time than the route gives. */
+    private boolean hasReturned() {
+        return mHead.budgetMs() > 0 && mHead.budgetMs() < mRoute.timeoutMs() * FIRST_BUDGET_PART;
+    }
+
+    private void placed(PlaceResult place) {
+        if (mEnded) {
+            return;
         }
-        if (!mNode.preemption().suspendOne(target)) {
-            return fullest;
+        TargetInstance target = place.target();
+        if (target == null) {
+            mRetryAfterMs = place.retryAfterMs();
+            act(mPolicy.noTarget(), "no place, said " + place.decider());
+            return;
         }
-        mNode.metrics().preempted();
-        double occupancy = (double) mNode.loads().of(target).inFlight() / target.slots();
-        return new Placement.Choice(target, occupancy);
+        sendTo(target, place);
     }
 
-    private void sendTo(Placement.Choice choice, long left) {
-        TargetInstance target = choice.target();
+    private void sendTo(TargetInstance target, PlaceResult place) {
+        mSentAt = now();
+        long left = TimeUnit.NANOSECONDS.toMillis(mPolicy.remainingNanos(mSentAt));
         mTried.add(target.incarnation());
         String resumeAfter = mLastEventId > 0 ? Long.toString(mLastEventId) : null;
         LOG.info(
                 "step=place request={} route={} customer={} service={} target={} occupancy={}"
-                        + " budget_ms={} resume_after={} config_version={}",
+                        + " decider={} budget_ms={} resume_after={} config_version={}",
                 mHead.id(),
                 mRoute.name(),
                 mCustomer,
                 mService,
                 target.incarnation(),
-                choice.occupancy(),
+                place.occupancy(),
+                place.decider(),
                 left,
                 resumeAfter,
                 mNode.state().config().version());
@@ -220,6 +227,7 @@
     public void streamEnded() {
         writeHeadOnce();
         mResponse.end();
+        mNode.places().observeService(mService, now() - mSentAt);
         finish("served", "events=" + mLastEventId);
     }
 
@@ -279,7 +287,8 @@
     }
 
     private void refuse(String reason) {
-        long retry = MIN_RETRY_MS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS);
+        long spread = ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS);
+        long retry = Math.max(MIN_RETRY_MS, mRetryAfterMs) + spread;
         answer(
                 new Problem(
                         ProblemType.NO_TARGET,
@@ -324,6 +333,7 @@
 
     private void finish(String outcome, String detail) {
         mEnded = true;
+        mNode.places().withdraw(mHead.id(), mService);
         mNode.vertx().cancelTimer(mDeadlineTimer);
         mNode.metrics().answered(mRoute.name(), outcome);
         LOG.info(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -23,12 +23,24 @@
     private final Ticker mTicker;
     private final Map<String, TargetLoad> mLoads = new HashMap<>();
     private final Map<String, Report> mReports = new HashMap<>();
+    private Runnable mOnEnd = () -> {};
 
     /** Creates an empty table. */
     public LoadTable(Ticker ticker) {
         mTicker = ticker;
     }
 
+    /** Sets what runs when a request of this host has left a target. */
+    public void onEnd(Runnable listener) {
+        mOnEnd = listener;
+    }
+
+    /** Notes that a request of this host has left {@code target}. */
+    public void ended(TargetInstance target, boolean batch) {
+        of(target).ended(batch);
+        mOnEnd.run();
+    }
+
     /** Returns the load of {@code target}. */
     public TargetLoad of(TargetInstance target) {
         return of(target.incarnation());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -24,8 +24,9 @@
  */
 public final class ReportExchange implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ReportExchange.class);
-    private static final long TICK_MS = 100;
+    private static final long TICK_MS = 250;
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long SOON_MS = 12;
     private static final long TIMEOUT_MS = 400;
     private static final long CATCH_UP_MS = 250;
 
@@ -38,6 +39,8 @@
     private final PeerTable mPeers;
     private final PeerClient mClient;
     private final LoadTable mLoads;
+    private final PlaceDesk mPlaces;
+    private final BatchWork mBatch;
     private final long mIncarnation;
     private final BooleanSupplier mStoreReachable;
     private final List<StoreMirror> mMirrors;
@@ -48,6 +51,7 @@
     private long mTimer;
     private int mTurn;
     private boolean mCatchingUp;
+    private boolean mSoon;
 
     /** Creates an exchange; a mirror that is behind those of a peer lists again. */
     public ReportExchange(
@@ -57,6 +61,8 @@
             PeerTable peers,
             PeerClient client,
             LoadTable loads,
+            PlaceDesk places,
+            BatchWork batch,
             long incarnation,
             BooleanSupplier storeReachable,
             List<StoreMirror> mirrors) {
@@ -66,6 +72,8 @@
         mPeers = peers;
         mClient = client;
         mLoads = loads;
+        mPlaces = places;
+        mBatch = batch;
         mIncarnation = incarnation;
         mStoreReachable = storeReachable;
         mMirrors = mirrors;
@@ -76,6 +84,30 @@
         mTimer = mVertx.setPeriodic(TICK_MS, t -> tick());
     }
 
+    /** Tells the coordinators shortly that something has ended or waits. */
+    public void reportSoon() {
+        if (!mSoon) {
+            mSoon = true;
+            mVertx.setTimer(SOON_MS, t -> tellCoordinators());
+        }
+    }
+
+    private void tellCoordinators() {
+        mSoon = false;
+        HostReport report = report(mLoads.own());
+        mPlaces.reported(report);
+        PeerRequest request = PeerRequest.report(report);
+        for (PeerTable.Peer peer : mPlaces.coordinatingPeers()) {
+            tell(peer, request);
+        }
+    }
+
+    private void tell(PeerTable.Peer peer, PeerRequest request) {
+        mClient.call(peer.address(), request, TIMEOUT_MS)
+                .onSuccess(reply -> heard(reply.getReport()))
+                .onFailure(e -> silent(peer, e));
+    }
+
     private void tick() {
         List<InFlight> own = mLoads.own();
         long now = mTicker.nanoTime();
@@ -89,10 +121,9 @@
         mLastVersion = version;
         PeerRequest request = PeerRequest.report(report(own));
         for (PeerTable.Peer peer : round()) {
-            mClient.call(peer.address(), request, TIMEOUT_MS)
-                    .onSuccess(reply -> heard(reply.getReport()))
-                    .onFailure(e -> silent(peer, e));
+            tell(peer, request);
         }
+        mPlaces.reported(report(own));
     }
 
     private List<PeerTable.Peer> round() {
@@ -112,7 +143,9 @@
                 mState.config().version(),
                 mStoreReachable.getAsBoolean(),
                 own,
-                revisions());
+                revisions(),
+                mBatch.waiting(),
+                mBatch.dueInMs());
     }
 
     /** Answers a peer's report with this host's own. */
@@ -127,6 +160,7 @@
         }
         mPeers.heard(report.getHost(), report.isStoreReachable());
         mLoads.reported(report);
+        mPlaces.reported(report);
         if (isBehind(report) && !mCatchingUp) {
             mCatchingUp = true;
             mVertx.setTimer(CATCH_UP_MS, t -> catchUp(report));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
-import org.sesamepin.core.target.Placement;
 import org.sesamepin.core.time.Ticker;
 
 /**
@@ -13,10 +12,9 @@
  * @param protocol how targets are spoken to
  * @param state configuration and targets
  * @param loads load of the targets
- * @param placement choice of targets
+ * @param places choice of targets
  * @param targetClient connections to targets
  * @param rates the customers' rates
- * @param preemption batch items that give way
  * @param metrics counters
  */
 public record ServingContext(
@@ -25,8 +23,7 @@
         FleetProtocol protocol,
         ServingState state,
         LoadTable loads,
-        Placement placement,
+        PlaceDesk places,
         HttpClientAgent targetClient,
         RateDesk rates,
-        Preemption preemption,
         ServingMetrics metrics) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.lifecycle.Closer;
@@ -18,7 +19,10 @@
 import org.sesamepin.node.job.JobStorage;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.PeerServer;
+import org.sesamepin.node.peer.generated.Done;
+import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
+import org.sesamepin.node.peer.generated.PlaceAnswer;
 import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.spi.WatchableStore;
 import org.slf4j.Logger;
@@ -55,6 +59,7 @@
     private final StoreMirror mControlMirror;
     private final HostLease mLease;
     private final ReportExchange mReports;
+    private final PlaceDesk mPlaces;
     private final ServingContext mContext;
     private final JobOwner mJobOwner;
     private final JobDesk mJobDesk;
@@ -89,6 +94,7 @@
                                 this::storeSilent));
         JobIndex index = new JobIndex();
         JobStorage storage = new JobStorage(store);
+        mPlaces = newPlaces();
         mContext = newContext();
         mJobOwner =
                 mCloser.add(
@@ -107,32 +113,64 @@
                                 mPeers,
                                 mPeerClient,
                                 mLoads,
+                                mPlaces,
+                                mJobOwner,
                                 incarnation,
                                 store::isDirectlyReachable,
                                 List.of(mConfigMirror, mTargetMirror, mControlMirror)));
     }
 
-    private ServingContext newContext() {
+    private PlaceDesk newPlaces() {
         Placement placement =
                 new Placement(mLoads::of, mSettings.failureDomain(), ThreadLocalRandom.current());
+        return new PlaceDesk(
+                mVertx,
+                mTicker,
+                mState,
+                mPeers,
+                mPeerClient,
+                mLoads,
+                placement,
+                mMetrics,
+                new LateBatchWork());
+    }
+
+    /** Looks the owner of the jobs up at each call: it and the placement need each other. */
+    private final class LateBatchWork implements BatchWork {
+        @Override
+        public boolean suspendOne(TargetInstance target) {
+            return mJobOwner.suspendOne(target);
+        }
+
+        @Override
+        public boolean runOne(String service, TargetInstance target) {
+            return mJobOwner.runOne(service, target);
+        }
+
+        @Override
+        public Map<String, Integer> waiting() {
+            return mJobOwner.waiting();
+        }
+
+        @Override
+        public long dueInMs() {
+            return mJobOwner.dueInMs();
+        }
+    }
+
+    private ServingContext newContext() {
         return new ServingContext(
                 mVertx,
                 mTicker,
                 mProtocol,
                 mState,
                 mLoads,
-                placement,
+                mPlaces,
                 targetClient(),
                 mRates,
-                this::suspendOne,
                 mMetrics);
     }
 
-    /** Looks the owner of the jobs up at each call: it and the context need each other. */
-    private boolean suspendOne(TargetInstance target) {
-        return mJobOwner.suspendOne(target);
-    }
-
     private StoreMirror mirror(String prefix, StoreMirror.Listener listener) {
         return mCloser.add(new StoreMirror(mVertx, mStore, prefix, listener));
     }
@@ -170,6 +208,18 @@
         server.on(PeerRequest._Fields.LOAN, r -> Future.succeededFuture(mRates.lend(r.getLoan())));
         server.on(PeerRequest._Fields.JOB_READ, r -> mJobDesk.answer(r.getJobRead()));
         server.on(PeerRequest._Fields.STORE_RELAY, r -> mDetour.relay(r.getStoreRelay()));
+        server.on(
+                PeerRequest._Fields.PLACE_ASK,
+                r -> {
+                    PlaceAnswer answer = mPlaces.answer(r.getPlaceAsk());
+                    return Future.succeededFuture(PeerReply.placeAnswer(answer));
+                });
+        server.on(
+                PeerRequest._Fields.PLACE_GRANT,
+                r -> done(() -> mPlaces.granted(r.getPlaceGrant())));
+        server.on(
+                PeerRequest._Fields.SUSPEND_ITEM,
+                r -> done(() -> mPlaces.suspend(r.getSuspendItem())));
         HealthServer health = new HealthServer(mVertx, mState, mMetrics);
         registerGauges();
         mConfigMirror.start();
@@ -177,7 +227,9 @@
         mControlMirror.start();
         mLease.start();
         mReports.start();
-        mJobOwner.start();
+        mLoads.onEnd(mReports::reportSoon);
+        mJobOwner.start(mReports::reportSoon);
+        mPlaces.start();
         mVertx.setPeriodic(RATE_REFRESH_MS, t -> refresh());
         LOG.info(
                 "step=start host={} failure_domain={} callers={} peers={}",
@@ -191,6 +243,11 @@
                 .mapEmpty();
     }
 
+    private static Future<PeerReply> done(Runnable action) {
+        action.run();
+        return Future.succeededFuture(PeerReply.done(new Done()));
+    }
+
     private void refresh() {
         mRates.refresh();
         mLoads.retainRegistered(mState);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -293,7 +293,7 @@
 
     private void end() {
         mEnded = true;
-        mLoad.ended(mPlan.batch());
+        mNode.loads().ended(mTarget, mPlan.batch());
         if (mSilenceTimer >= 0) {
             vertx().cancelTimer(mSilenceTimer);
         }
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -188,6 +188,51 @@
   5: list<InFlight> inFlight
   // Latest revisions of the store that the host has seen below each prefix that all hosts watch.
   6: list<i64> watchedRevisions
+  // Batch items that wait for a place, by service.
+  7: map<string, i32> waitingItems
+  // How soon the first of these items is due.
+  8: i64 dueInMs
+}
+
+// Asks the coordinator of a service for a target.
+struct PlaceAsk {
+  1: string requestId
+  2: string host
+  3: string serviceName
+  4: i32 rank
+  // Whether the request's caller was refused before.
+  5: bool returned
+  6: i64 latencyMs
+  7: i64 leftMs
+  8: list<string> excluded
+}
+
+enum PlaceOutcome {
+  GRANTED = 1
+  QUEUED = 2
+  REFUSED = 3
+  NOT_COORDINATOR = 4
+}
+
+struct PlaceAnswer {
+  1: PlaceOutcome outcome
+  2: string targetId
+  3: double occupancy
+  4: i64 retryAfterMs
+}
+
+// Tells a host the place of a request that waited, or of a batch item.
+struct PlaceGrant {
+  // Empty for a batch item.
+  1: string requestId
+  2: string serviceName
+  3: string targetId
+  4: double occupancy
+}
+
+// Tells a host to suspend one of its batch items at a target.
+struct SuspendItem {
+  1: string targetId
 }
 
 // Asks a peer for a part of its tokens of one customer's rate.
@@ -257,6 +302,9 @@
   14: LoanRequest loan
   15: StoreRelay storeRelay
   16: JobRead jobRead
+  17: PlaceAsk placeAsk
+  18: PlaceGrant placeGrant
+  19: SuspendItem suspendItem
 }
 
 union PeerReply {
@@ -273,6 +321,7 @@
   11: LoanReply loan
   12: StoreRelayReply storeRelay
   13: JobReadReply jobRead
+  14: PlaceAnswer placeAnswer
 }
 
 struct PeerFrame {
