--- /dev/null
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -0,0 +1,137 @@
+package org.sesamepin.core.job;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class JobProgressTest {
+    private static final long LATER = 1_000_000_000L;
+
+    private static List<JobItem> items(int count) {
+        List<JobItem> items = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            items.add(new JobItem("i" + i, "/p", Map.of(), new byte[] {(byte) i}, 10));
+        }
+        return items;
+    }
+
+    private static JobProgress progress(int count) {
+        return new JobProgress(items(count), List.of(), Map.of());
+    }
+
+    @Test
+    void suspendedItemGoesOnBehindItsLastEvent() {
+        JobProgress progress = progress(1);
+        progress.started(0);
+        progress.event(0, 1, "a");
+        progress.event(0, 2, "b");
+        progress.suspended(0);
+        assertEquals(0, progress.next(0));
+        assertEquals(2, progress.lastEventId(0));
+        progress.started(0);
+        progress.event(0, 3, "c");
+        progress.completed(0);
+        assertEquals(List.of(new JobResult("i0", true, "a\nb\nc")), progress.pending(100));
+    }
+
+    @Test
+    void brokenItemWaitsBeforeItRunsAgain() {
+        JobProgress progress = progress(1);
+        progress.started(0);
+        progress.broken(0, 0);
+        assertEquals(-1, progress.next(1));
+        assertEquals(0, progress.next(LATER));
+    }
+
+    @Test
+    void itemIsGivenUpAfterItsFailuresAndStartsAnewBefore() {
+        JobProgress progress = progress(1);
+        progress.started(0);
+        progress.event(0, 1, "a");
+        progress.failed(0, 2, 0);
+        assertEquals(0, progress.lastEventId(0));
+        assertEquals(Map.of("i0", 1), progress.failures());
+        progress.started(0);
+        progress.failed(0, 2, LATER);
+        assertEquals(List.of(new JobResult("i0", false, "")), progress.pending(100));
+    }
+
+    @Test
+    void failuresCountOnAfterATakeOver() {
+        JobProgress progress = new JobProgress(items(1), List.of(), Map.of("i0", 2));
+        progress.started(0);
+        progress.failed(0, 3, 0);
+        assertTrue(progress.allFinal());
+    }
+
+    @Test
+    void bodyIsThereUntilTheResultIsPublished() {
+        JobProgress progress = progress(2);
+        progress.started(1);
+        progress.completed(1);
+        assertArrayEquals(new byte[] {1}, progress.unlistedBody("i1"));
+        progress.published(1);
+        assertNull(progress.unlistedBody("i1"));
+        assertNotNull(progress.unlistedBody("i0"));
+        assertNull(progress.unlistedBody("unknown"));
+    }
+
+    @Test
+    void publishedResultsOfAFormerOwnerAreFinal() {
+        JobResult result = new JobResult("i1", true, "x");
+        JobProgress progress = new JobProgress(items(2), List.of(result), Map.of());
+        assertEquals(10, progress.openTokens());
+        assertEquals(0, progress.next(0));
+        progress.started(0);
+        assertEquals(-1, progress.next(0));
+        assertFalse(progress.isComplete());
+    }
+
+    /** Any order of what can happen to items ends with one result for each, at a fixed position. */
+    @Test
+    void eachItemGetsOneResultWhateverHappens() {
+        for (int seed = 0; seed < 2_000; seed++) {
+            Random random = new Random(seed);
+            int count = 1 + random.nextInt(6);
+            JobProgress progress = progress(count);
+            List<JobResult> seen = new ArrayList<>();
+            long now = 0;
+            while (!progress.isComplete()) {
+                now += LATER;
+                int index = progress.next(now);
+                if (index >= 0) {
+                    progress.started(index);
+                    step(progress, index, random, now);
+                }
+                int some = progress.pending(random.nextInt(4)).size();
+                progress.published(Math.min(some, random.nextInt(3)));
+                List<JobResult> published = progress.published();
+                assertEquals(seen, published.subList(0, seen.size()), "seed " + seed);
+                seen = List.copyOf(published);
+            }
+            List<String> ids = seen.stream().map(JobResult::id).toList();
+            assertEquals(count, new HashSet<>(ids).size(), "seed " + seed);
+            assertEquals(count, ids.size(), "seed " + seed);
+        }
+    }
+
+    private static void step(JobProgress progress, int index, Random random, long now) {
+        switch (random.nextInt(6)) {
+            case 0 -> progress.suspended(index);
+            case 1 -> progress.broken(index, now);
+            case 2 -> progress.failed(index, 2, now);
+            case 3 -> progress.giveUp(index);
+            default -> progress.completed(index);
+        }
+    }
+}
