Open a new connection for each request that may not run again

Targets may close idle connections in under a second without saying so. The product's TargetClient already kept such calls apart; it is used here too, in place of a second client.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -71,6 +71,7 @@
                         BUDGET_MS,
                         after > 0 ? Long.toString(after) : null,
                         true,
+                        true,
                         SILENCE_MS);
         mAttempt = new TargetAttempt(node, target, plan, this);
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -155,7 +155,14 @@
                 mNode.state().config().version());
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
-                        mHead, mBody, mCustomer, left, resumeAfter, false, silenceMs());
+                        mHead,
+                        mBody,
+                        mCustomer,
+                        left,
+                        resumeAfter,
+                        false,
+                        mRoute.kind().mayRepeat(),
+                        silenceMs());
         TargetAttempt attempt = new TargetAttempt(mNode, target, plan, this);
         mAttempt = attempt;
         attempt.start();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
@@ -1,8 +1,8 @@
 package org.sesamepin.node.serving;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientAgent;
 import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.target.TargetClient;
 
 /**
  * The parts of a node that its requests use.
@@ -24,6 +24,6 @@
         ServingState state,
         LoadTable loads,
         PlaceDesk places,
-        HttpClientAgent targetClient,
+        TargetClient targetClient,
         RateDesk rates,
         ServingMetrics metrics) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -2,9 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientAgent;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.PoolOptions;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -25,6 +22,7 @@
 import org.sesamepin.node.peer.generated.PlaceAnswer;
 import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.spi.WatchableStore;
+import org.sesamepin.node.target.TargetClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,8 +32,6 @@
  */
 public final class ServingNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ServingNode.class);
-    private static final int TARGET_POOL = 512;
-    private static final int TARGET_IDLE_SECONDS = 3;
     private static final long BALANCER_LAG_MS = 2_600;
     private static final long STOP_MARGIN_MS = 900;
     private static final long STOP_CHECK_MS = 50;
@@ -166,7 +162,7 @@
                 mState,
                 mLoads,
                 mPlaces,
-                targetClient(),
+                mCloser.add(new TargetClient(mVertx)),
                 mRates,
                 mMetrics);
     }
@@ -175,20 +171,6 @@
         return mCloser.add(new StoreMirror(mVertx, mStore, prefix, listener));
     }
 
-    private HttpClientAgent targetClient() {
-        HttpClientOptions options =
-                new HttpClientOptions()
-                        .setKeepAlive(true)
-                        .setKeepAliveTimeout(TARGET_IDLE_SECONDS)
-                        .setTcpNoDelay(true)
-                        .setTcpKeepAlive(true)
-                        .setDecompressionSupported(false);
-        PoolOptions pool = new PoolOptions().setHttp1MaxSize(TARGET_POOL);
-        HttpClientAgent client = mVertx.createHttpClient(options, pool);
-        mCloser.add(client::close);
-        return client;
-    }
-
     /** Returns what requests use. */
     public ServingContext context() {
         return mContext;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -46,6 +46,8 @@
     /**
      * What an attempt needs besides its target.
      *
+     * @param repeatable whether the request may run again; one that may not gets a new connection,
+     *     since a kept one may close just as the request is sent
      * @param silenceMs longest time without any byte of the answer, milliseconds; 0 for no limit
      */
     public record Plan(
@@ -55,9 +57,9 @@
             long budgetMs,
             @Nullable String resumeAfter,
             boolean batch,
+            boolean repeatable,
             long silenceMs) {}
 
-    private static final int CONNECT_TIMEOUT_MS = 450;
     private static final int MISDIRECTED = 421;
 
     /** Statuses that tell a caller that the request has not run. */
@@ -102,7 +104,6 @@
                         .setHost(mTarget.address().getHostString())
                         .setPort(mTarget.address().getPort())
                         .setURI(mPlan.head().uri())
-                        .setConnectTimeout(CONNECT_TIMEOUT_MS)
                         .setHeaders(
                                 mNode.protocol()
                                         .requestHeaders(
@@ -112,9 +113,9 @@
                                                 mPlan.budgetMs(),
                                                 mPlan.resumeAfter()));
         mNode.targetClient()
-                .request(options)
+                .open(mTarget.id(), options, mPlan.repeatable())
                 .onSuccess(this::connected)
-                .onFailure(e -> refuse(true, "cannot connect: " + e.getMessage()));
+                .onFailure(e -> refuse(true, String.valueOf(e.getMessage())));
     }
 
     private void connected(HttpClientRequest request) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -54,6 +54,11 @@
      */
     public Future<HttpClientRequest> open(
             Target target, RequestOptions options, boolean repeatable) {
+        return open(target.name(), options, repeatable);
+    }
+
+    /** Opens a request to the target that logs and errors call {@code name}. */
+    public Future<HttpClientRequest> open(String name, RequestOptions options, boolean repeatable) {
         HttpClientAgent client = repeatable ? mPooled : mFresh;
         return client.request(options)
                 .recover(
@@ -61,7 +66,7 @@
                                 Future.failedFuture(
                                         new SesamepinException(
                                                 Step.CONNECT,
-                                                target.name(),
+                                                name,
                                                 "cannot connect: " + e.getMessage())));
     }
 
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ScriptedStore.java
@@ -0,0 +1,121 @@
+package org.sesamepin.node.serving;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.sesamepin.node.spi.StoreChange;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
+import org.sesamepin.node.spi.StoreRelayCall;
+import org.sesamepin.node.spi.StoreResult;
+import org.sesamepin.node.spi.StoreTransaction;
+import org.sesamepin.node.spi.WatchableStore;
+
+/** A store in memory whose watches answer only when the test says so. */
+final class ScriptedStore implements WatchableStore {
+    private final TreeMap<String, StoreEntry> mEntries = new TreeMap<>();
+    private final Deque<Promise<StoreChanges>> mWatches = new ArrayDeque<>();
+    private final List<Long> mWatchedFrom = new ArrayList<>();
+    private long mRevision = 10;
+    private int mLists;
+
+    /** Writes a key; no watch hears of it. */
+    void write(String key, String value) {
+        mRevision++;
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        mEntries.put(key, new StoreEntry(key, bytes, mRevision));
+    }
+
+    /** Answers the waiting watch with the present state of {@code key}. */
+    void tell(String key) {
+        StoreEntry entry = mEntries.get(key);
+        StoreChange change = new StoreChange(key, entry, mRevision);
+        next().complete(new StoreChanges(mRevision, List.of(change), false));
+    }
+
+    void cutWatch() {
+        next().fail("connection reset");
+    }
+
+    void loseHistory() {
+        next().complete(new StoreChanges(mRevision, List.of(), true));
+    }
+
+    private Promise<StoreChanges> next() {
+        Promise<StoreChanges> watch = mWatches.poll();
+        if (watch == null) {
+            throw new IllegalStateException("no watch waits");
+        }
+        return watch;
+    }
+
+    int lists() {
+        return mLists;
+    }
+
+    List<Long> watchedFrom() {
+        return mWatchedFrom;
+    }
+
+    @Override
+    public Future<StoreListing> list(String prefix) {
+        mLists++;
+        List<StoreEntry> found =
+                mEntries.values().stream().filter(e -> e.key().startsWith(prefix)).toList();
+        return Future.succeededFuture(new StoreListing(mRevision, found));
+    }
+
+    @Override
+    public Future<StoreChanges> watch(String prefix, long revision, long waitMs) {
+        mWatchedFrom.add(revision);
+        Promise<StoreChanges> watch = Promise.promise();
+        mWatches.add(watch);
+        return watch.future();
+    }
+
+    @Override
+    public Future<StoreResult> commit(StoreTransaction transaction) {
+        return Future.failedFuture("not scripted");
+    }
+
+    @Override
+    public Future<Long> grantLeaseMs(long ttlMs) {
+        return Future.succeededFuture(1L);
+    }
+
+    @Override
+    public Future<Boolean> keepAlive(long lease) {
+        return Future.succeededFuture(true);
+    }
+
+    @Override
+    public Future<Void> revokeLease(long lease) {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public void reconnect() {}
+
+    @Override
+    public Future<StoreRelayCall.Reply> relay(StoreRelayCall call) {
+        return Future.failedFuture("not scripted");
+    }
+
+    @Override
+    public void setDetour(Function<StoreRelayCall, Future<StoreRelayCall.Reply>> detour) {}
+
+    @Override
+    public boolean isDirectlyReachable() {
+        return true;
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
@@ -0,0 +1,82 @@
+package org.sesamepin.node.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreListing;
+
+class StoreMirrorTest {
+    private final Vertx mVertx = Vertx.vertx();
+    private final ScriptedStore mStore = new ScriptedStore();
+    private final List<String> mHeard = new ArrayList<>();
+    private CountDownLatch mListed = new CountDownLatch(1);
+    private final StoreMirror mMirror = new StoreMirror(mVertx, mStore, "op/", new Recorder());
+
+    private final class Recorder implements StoreMirror.Listener {
+        @Override
+        public void listed(StoreListing listing, boolean afterOutage) {
+            listing.entries().forEach(e -> mHeard.add(e.key() + '=' + e.text()));
+            mListed.countDown();
+        }
+
+        @Override
+        public void changed(StoreChanges changes, boolean afterOutage) {
+            changes.changes().forEach(c -> mHeard.add("changed " + c.key()));
+        }
+    }
+
+    @AfterEach
+    void close() {
+        mVertx.close();
+    }
+
+    @Test
+    void watchContinuesFromWhatWasListed() {
+        mStore.write("op/config", "1");
+        mMirror.start();
+        mStore.write("op/config", "2");
+        mStore.tell("op/config");
+        assertEquals(List.of("op/config=1", "changed op/config"), mHeard);
+        assertEquals(List.of(11L, 12L), mStore.watchedFrom());
+    }
+
+    /** After a compaction a store may answer a continued watch with silence. */
+    @Test
+    void prefixIsListedAgainAfterACutWatch() throws InterruptedException {
+        mStore.write("op/config", "1");
+        mMirror.start();
+        mStore.write("op/config", "2");
+        mListed = new CountDownLatch(1);
+        mStore.cutWatch();
+        mListed.await(5, TimeUnit.SECONDS);
+        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+        assertEquals(2, mStore.lists());
+    }
+
+    @Test
+    void prefixIsListedAgainWhenTheHistoryIsLost() {
+        mStore.write("op/config", "1");
+        mMirror.start();
+        mStore.write("op/config", "2");
+        mStore.loseHistory();
+        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+    }
+
+    @Test
+    void refreshForgetsTheWaitingWatch() {
+        mStore.write("op/config", "1");
+        mMirror.start();
+        mStore.write("op/config", "2");
+        mMirror.refresh();
+        mStore.tell("op/config");
+        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+        assertEquals(12L, mMirror.contentRevision());
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetKeeperTest.java
@@ -0,0 +1,106 @@
+package org.sesamepin.node.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.Vertx;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.core.target.TargetState;
+import org.sesamepin.node.spi.StoreChange;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
+
+class TargetKeeperTest {
+    private final Vertx mVertx = Vertx.vertx();
+    private final ServingState mState = new ServingState();
+    private final TargetKeeper mKeeper = new TargetKeeper(mVertx, () -> 0, protocol(), mState);
+
+    /** A protocol of which only the decoding of targets is used. */
+    private static FleetProtocol protocol() {
+        return (FleetProtocol)
+                Proxy.newProxyInstance(
+                        FleetProtocol.class.getClassLoader(),
+                        new Class<?>[] {FleetProtocol.class},
+                        (proxy, method, args) -> decode((String) args[0], (byte[]) args[1]));
+    }
+
+    private static TargetInstance decode(String key, byte[] value) throws SesamepinException {
+        String state = new StoreEntry(key, value, 0).text();
+        if (state.equals("junk")) {
+            throw new SesamepinException(Step.STORE_READ, key, "junk");
+        }
+        return new TargetInstance(
+                key,
+                1,
+                "s",
+                new InetSocketAddress("127.0.0.1", 1),
+                "a",
+                1,
+                TargetState.valueOf(state),
+                0);
+    }
+
+    @AfterEach
+    void close() {
+        mVertx.close();
+    }
+
+    private static StoreEntry entry(String key, String state) {
+        return new StoreEntry(key, state.getBytes(java.nio.charset.StandardCharsets.UTF_8), 5);
+    }
+
+    private static StoreListing listing(String... keys) {
+        List<StoreEntry> entries = new ArrayList<>();
+        for (String key : keys) {
+            entries.add(entry(key, "READY"));
+        }
+        return new StoreListing(5, entries);
+    }
+
+    private static StoreChanges removal(String key) {
+        return new StoreChanges(6, List.of(new StoreChange(key, null, 6)), false);
+    }
+
+    private Set<String> known() {
+        return mState.targets().all().keySet();
+    }
+
+    @Test
+    void removedTargetIsGoneAtOnce() {
+        mKeeper.listed(listing("a", "b"), false);
+        mKeeper.changed(removal("a"), false);
+        assertEquals(Set.of("b"), known());
+    }
+
+    @Test
+    void targetThatIsMissingAfterAnOutageCountsForAWhile() {
+        mKeeper.listed(listing("a", "b"), false);
+        mKeeper.listed(listing("b"), true);
+        assertEquals(Set.of("a", "b"), known());
+    }
+
+    @Test
+    void targetThatDrainsGetsNothing() {
+        mKeeper.listed(listing("a"), false);
+        StoreChange drains = new StoreChange("a", entry("a", "DRAINING"), 6);
+        mKeeper.changed(new StoreChanges(6, List.of(drains), false), false);
+        assertEquals(List.of(), mState.targets().ready("s"));
+    }
+
+    @Test
+    void entryThatBecomesUnreadableNamesNoTarget() {
+        mKeeper.listed(listing("a", "b"), false);
+        StoreChange junk = new StoreChange("a", entry("a", "junk"), 6);
+        mKeeper.changed(new StoreChanges(6, List.of(junk), false), false);
+        assertEquals(Set.of("b"), known());
+    }
+}
