--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -2,11 +2,13 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.lifecycle.Closer;
+import org.sesamepin.core.membership.Rendezvous;
 import org.sesamepin.core.target.Placement;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
@@ -60,9 +62,17 @@
     private final JobOwner mJobOwner;
     private final JobDesk mJobDesk;
 
-    /** Creates a node; nothing is started yet. */
+    /**
+     * Creates a node; nothing is started yet.
+     *
+     * @param operatorListener hears all that lies below the configuration's prefix
+     */
     public ServingNode(
-            Vertx vertx, ServingSettings settings, FleetProtocol protocol, WatchableStore store) {
+            Vertx vertx,
+            ServingSettings settings,
+            FleetProtocol protocol,
+            WatchableStore store,
+            StoreMirror.Listener operatorListener) {
         mVertx = vertx;
         mSettings = settings;
         mProtocol = protocol;
@@ -72,11 +82,14 @@
         mPeerClient = mCloser.add(new PeerClient(vertx));
         mLoads = new LoadTable(mTicker);
         mRates = new RateDesk(mTicker, mState, mPeers, mPeerClient);
-        mDetour = new StoreDetour(mPeers, mPeerClient, store);
+        mDetour = new StoreDetour(mPeers, mPeerClient, store, settings.seeds());
         store.setDetour(mDetour::call);
         ConfigKeeper configs = new ConfigKeeper(protocol, mState);
         TargetKeeper targets = new TargetKeeper(vertx, mTicker, protocol, mState);
-        mConfigMirror = mirror(protocol.configPrefix(), configs);
+        mConfigMirror =
+                mirror(
+                        protocol.configPrefix(),
+                        new MirrorFanOut(List.of(configs, operatorListener)));
         mTargetMirror = mirror(protocol.targetPrefix(), targets);
         mLease =
                 mCloser.add(
@@ -181,6 +194,14 @@
         return mJobDesk;
     }
 
+    /** Tells whether this host is the first of all registered ones to act on {@code key}. */
+    public boolean actsFirstOn(String key) {
+        List<String> hosts = new ArrayList<>();
+        hosts.add(mSettings.host());
+        mPeers.registered().forEach(peer -> hosts.add(peer.name()));
+        return mSettings.host().equals(Rendezvous.owner(key, hosts));
+    }
+
     /** Starts all parts but the listener for callers. */
     public Future<Void> start() {
         PeerServer server = mCloser.add(new PeerServer(mVertx, mSettings.peerAddress()));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 /**
  * Settings of a node that serves routes.
@@ -10,6 +11,7 @@
  * @param callerAddress where callers connect
  * @param readyAddress where the balancer asks whether the node is ready
  * @param peerAddress where other hosts connect
+ * @param seeds addresses of some hosts, which may be down; for a start while the store is away
  * @param metricsAddress where metrics are read
  * @param stopWithinMs time from the signal to stop until the process is ended, milliseconds
  * @param jobRetentionMs how long results of a job stay readable after it was accepted, milliseconds
@@ -20,6 +22,7 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readyAddress,
         InetSocketAddress peerAddress,
+        List<InetSocketAddress> seeds,
         InetSocketAddress metricsAddress,
         long stopWithinMs,
         long jobRetentionMs) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreDetour.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreDetour.java
@@ -1,6 +1,8 @@
 package org.sesamepin.node.serving;
 
 import io.vertx.core.Future;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import org.sesamepin.core.error.SesamepinException;
@@ -10,6 +12,7 @@
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.StoreRelay;
 import org.sesamepin.node.peer.generated.StoreRelayReply;
+import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.spi.StoreRelayCall;
 import org.sesamepin.node.spi.WatchableStore;
 
@@ -20,29 +23,38 @@
     private final PeerTable mPeers;
     private final PeerClient mClient;
     private final WatchableStore mStore;
+    private final List<String> mSeeds;
 
-    StoreDetour(PeerTable peers, PeerClient client, WatchableStore store) {
+    StoreDetour(
+            PeerTable peers,
+            PeerClient client,
+            WatchableStore store,
+            List<InetSocketAddress> seeds) {
         mPeers = peers;
         mClient = client;
         mStore = store;
+        mSeeds = seeds.stream().map(NodeSettings::text).toList();
+    }
+
+    /** Peers that the store answers; the seeds while no peer is known. */
+    private List<String> relays() {
+        List<String> peers = mPeers.withStore().stream().map(PeerTable.Peer::address).toList();
+        return peers.isEmpty() && mPeers.registered().isEmpty() ? mSeeds : peers;
     }
 
     /** Makes a call through some peer that the store answers. */
     Future<StoreRelayCall.Reply> call(StoreRelayCall call) {
-        List<PeerTable.Peer> peers = mPeers.withStore();
+        List<String> peers = relays();
         if (peers.isEmpty()) {
             return Future.failedFuture(
                     new SesamepinException(Step.PEER_CALL, "-", "no peer reaches the store"));
         }
-        PeerTable.Peer peer = peers.get(ThreadLocalRandom.current().nextInt(peers.size()));
+        String peer = peers.get(ThreadLocalRandom.current().nextInt(peers.size()));
         StoreRelay relay =
                 new StoreRelay(
-                        call.method(),
-                        call.uri(),
-                        java.nio.ByteBuffer.wrap(call.body()),
-                        call.timeoutMs());
+                        call.method(), call.uri(), ByteBuffer.wrap(call.body()), call.timeoutMs());
         long timeoutMs = call.timeoutMs() + MARGIN_MS;
-        return mClient.call(peer.address(), PeerRequest.storeRelay(relay), timeoutMs)
+        return mClient.call(peer, PeerRequest.storeRelay(relay), timeoutMs)
                 .map(PeerReply::getStoreRelay)
                 .map(reply -> new StoreRelayCall.Reply(reply.getStatus(), reply.getBody()));
     }
