--- a/sesamepin-core/src/test/java/org/sesamepin/core/call/CallPolicyTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/call/CallPolicyTest.java
@@ -9,6 +9,7 @@
 import org.sesamepin.core.call.CallPolicy.Next;
 import org.sesamepin.core.serving.RouteKind;
 
+/** What follows each event of a call, by kind of route. */
 class CallPolicyTest {
     private static final long DEADLINE = 1_000;
 
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
+/** Items through preemption, failures, publishing and a change of owner. */
 class JobProgressTest {
     private static final long LATER = 1_000_000_000L;
 
--- a/sesamepin-core/src/test/java/org/sesamepin/core/limit/SharedRateTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/SharedRateTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
+/** Hosts that share a rate and lend each other tokens. */
 class SharedRateTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
--- a/sesamepin-core/src/test/java/org/sesamepin/core/serving/ServingConfigTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/serving/ServingConfigTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** Look-ups in one snapshot of the configuration. */
 class ServingConfigTest {
     static ServingRoute route(String name, String host, String prefix, ServiceShare... shares) {
         return new ServingRoute(
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
+/** Pulses that fill all targets of a service, as its coordinator sees them. */
 class ServiceCoordinatorTest {
     private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final int SLOTS = 4;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
@@ -12,6 +12,7 @@
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreListing;
 
+/** A watched prefix through cuts and lost history. */
 class StoreMirrorTest {
     private final Vertx mVertx = Vertx.vertx();
     private final ScriptedStore mStore = new ScriptedStore();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetKeeperTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetKeeperTest.java
@@ -19,6 +19,7 @@
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
 
+/** The snapshot of the targets, also after an outage of the store. */
 class TargetKeeperTest {
     private final Vertx mVertx = Vertx.vertx();
     private final ServingState mState = new ServingState();
