--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -0,0 +1,159 @@
+package org.sesamepin.node.serving;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Map;
+import java.util.Random;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
+import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.target.Placement;
+import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.http.Problem;
+import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.target.TargetClient;
+
+/** The parts of a node that requests use, with a wire of the test's own and no peers. */
+public final class ServingFixture implements AutoCloseable {
+    private final PeerClient mPeerClient;
+    private final TargetClient mTargetClient;
+    private final PeerTable mPeers = new PeerTable(Ticker.SYSTEM, "self");
+    private final ServingState mState = new ServingState();
+    private final ServingContext mContext;
+
+    /** Creates the parts. */
+    public ServingFixture(Vertx vertx) {
+        mPeerClient = new PeerClient(vertx);
+        mTargetClient = new TargetClient(vertx);
+        LoadTable loads = new LoadTable(Ticker.SYSTEM);
+        ServingMetrics metrics = new ServingMetrics();
+        Placement placement = new Placement(loads::of, "a", new Random(1));
+        PlaceDesk places =
+                new PlaceDesk(
+                        vertx,
+                        Ticker.SYSTEM,
+                        mState,
+                        mPeers,
+                        mPeerClient,
+                        loads,
+                        placement,
+                        metrics,
+                        new NoBatchWork());
+        mContext =
+                new ServingContext(
+                        vertx,
+                        Ticker.SYSTEM,
+                        new PlainWire(),
+                        mState,
+                        loads,
+                        places,
+                        mTargetClient,
+                        new RateDesk(Ticker.SYSTEM, mState, mPeers, mPeerClient),
+                        metrics);
+    }
+
+    public ServingContext context() {
+        return mContext;
+    }
+
+    public ServingState state() {
+        return mState;
+    }
+
+    public PeerTable peers() {
+        return mPeers;
+    }
+
+    public PeerClient peerClient() {
+        return mPeerClient;
+    }
+
+    @Override
+    public void close() {
+        mTargetClient.close();
+        mPeerClient.close();
+    }
+
+    private static final class NoBatchWork implements BatchWork {
+        @Override
+        public boolean suspendOne(TargetInstance target) {
+            return false;
+        }
+
+        @Override
+        public boolean runOne(String service, TargetInstance target) {
+            return false;
+        }
+
+        @Override
+        public Map<String, Integer> waiting() {
+            return Map.of();
+        }
+
+        @Override
+        public long dueInMs() {
+            return 0;
+        }
+    }
+
+    /** A wire with the headers Id, Signed, Not-Run and Events. */
+    private static final class PlainWire implements FleetProtocol {
+        @Override
+        public String configPrefix() {
+            return "config/";
+        }
+
+        @Override
+        public boolean isConfig(String key) {
+            return false;
+        }
+
+        @Override
+        public String targetPrefix() {
+            return "targets/";
+        }
+
+        @Override
+        public ServingConfig decodeConfig(byte[] value) throws SesamepinException {
+            throw new SesamepinException(Step.LOAD_BUNDLE, "test", "not used");
+        }
+
+        @Override
+        public TargetInstance decodeTarget(String key, byte[] value) throws SesamepinException {
+            throw new SesamepinException(Step.STORE_READ, key, "not used");
+        }
+
+        @Override
+        public MultiMap requestHeaders(
+                CallHead head,
+                TargetInstance target,
+                @Nullable String customer,
+                long budgetMs,
+                @Nullable String resumeAfter) {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Id", head.id());
+            return resumeAfter == null ? headers : headers.add("After", resumeAfter);
+        }
+
+        @Override
+        public void sendProblem(HttpServerResponse response, Problem problem, String requestId) {
+            response.setStatusCode(problem.type().status()).end();
+        }
+
+        @Override
+        public ReplyHead reply(HttpClientResponse response) {
+            return new ReplyHead(
+                    response.statusCode(),
+                    response.getHeader("Id"),
+                    response.getHeader("Not-Run") != null,
+                    response.getHeader("Signed") != null,
+                    false,
+                    response.getHeader("Events") != null,
+                    null,
+                    MultiMap.caseInsensitiveMultiMap());
+        }
+    }
+}
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
@@ -18,7 +18,7 @@
     private final ScriptedStore mStore = new ScriptedStore();
     private final List<String> mHeard = new ArrayList<>();
     private CountDownLatch mListed = new CountDownLatch(1);
-    private final StoreMirror mMirror = new StoreMirror(mVertx, mStore, "op/", new Recorder());
+    private final StoreMirror mMirror = new StoreMirror(mVertx, mStore, "config/", new Recorder());
 
     private final class Recorder implements StoreMirror.Listener {
         @Override
@@ -40,44 +40,44 @@
 
     @Test
     void watchContinuesFromWhatWasListed() {
-        mStore.write("op/config", "1");
+        mStore.write("config/now", "1");
         mMirror.start();
-        mStore.write("op/config", "2");
-        mStore.tell("op/config");
-        assertEquals(List.of("op/config=1", "changed op/config"), mHeard);
+        mStore.write("config/now", "2");
+        mStore.tell("config/now");
+        assertEquals(List.of("config/now=1", "changed config/now"), mHeard);
         assertEquals(List.of(11L, 12L), mStore.watchedFrom());
     }
 
     /** After a compaction a store may answer a continued watch with silence. */
     @Test
     void prefixIsListedAgainAfterACutWatch() throws InterruptedException {
-        mStore.write("op/config", "1");
+        mStore.write("config/now", "1");
         mMirror.start();
-        mStore.write("op/config", "2");
+        mStore.write("config/now", "2");
         mListed = new CountDownLatch(1);
         mStore.cutWatch();
         mListed.await(5, TimeUnit.SECONDS);
-        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+        assertEquals(List.of("config/now=1", "config/now=2"), mHeard);
         assertEquals(2, mStore.lists());
     }
 
     @Test
     void prefixIsListedAgainWhenTheHistoryIsLost() {
-        mStore.write("op/config", "1");
+        mStore.write("config/now", "1");
         mMirror.start();
-        mStore.write("op/config", "2");
+        mStore.write("config/now", "2");
         mStore.loseHistory();
-        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+        assertEquals(List.of("config/now=1", "config/now=2"), mHeard);
     }
 
     @Test
     void refreshForgetsTheWaitingWatch() {
-        mStore.write("op/config", "1");
+        mStore.write("config/now", "1");
         mMirror.start();
-        mStore.write("op/config", "2");
+        mStore.write("config/now", "2");
         mMirror.refresh();
-        mStore.tell("op/config");
-        assertEquals(List.of("op/config=1", "op/config=2"), mHeard);
+        mStore.tell("config/now");
+        assertEquals(List.of("config/now=1", "config/now=2"), mHeard);
         assertEquals(12L, mMirror.contentRevision());
     }
 }
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -0,0 +1,210 @@
+package org.sesamepin.node.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.core.target.TargetState;
+
+/** What a target's bytes, right or wrong, make of an attempt. */
+class TargetAttemptTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\n";
+    private static final String EVENTS = OK + "Events: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final ServingFixture mNode = new ServingFixture(mVertx);
+    private final List<String> mTold = new CopyOnWriteArrayList<>();
+    private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+    private String mAnswer = "";
+    private boolean mClose;
+    private @Nullable TargetInstance mTarget;
+
+    @BeforeEach
+    void listen() throws Exception {
+        NetServer server = mVertx.createNetServer().connectHandler(this::answer);
+        int port =
+                server.listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(10, TimeUnit.SECONDS)
+                        .actualPort();
+        mTarget =
+                new TargetInstance(
+                        "t",
+                        1,
+                        "s",
+                        new InetSocketAddress("127.0.0.1", port),
+                        "a",
+                        1,
+                        TargetState.READY,
+                        0);
+        mNode.state().setTargets(new TargetDirectory(List.of(mTarget)));
+    }
+
+    private void answer(NetSocket socket) {
+        socket.handler(
+                request -> {
+                    socket.write(mAnswer);
+                    if (mClose) {
+                        socket.close();
+                    }
+                });
+    }
+
+    @AfterEach
+    void close() {
+        mNode.close();
+        mVertx.close();
+    }
+
+    private String run(String answer, boolean close) throws Exception {
+        mAnswer = answer;
+        mClose = close;
+        TargetInstance target = Objects.requireNonNull(mTarget);
+        CallHead head =
+                new CallHead(
+                        "r1",
+                        HttpMethod.POST,
+                        "h",
+                        "/p",
+                        "/p",
+                        null,
+                        0,
+                        null,
+                        MultiMap.caseInsensitiveMultiMap());
+        TargetAttempt.Plan plan =
+                new TargetAttempt.Plan(
+                        head, Buffer.buffer("{}"), null, 5_000, null, false, true, 0);
+        mVertx.runOnContext(
+                v -> new TargetAttempt(mNode.context(), target, plan, new Recorder()).start());
+        return mEnd.get(10, TimeUnit.SECONDS);
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: x\n\n";
+    }
+
+    private final class Recorder implements TargetAttempt.Listener {
+        @Override
+        public void sent() {
+            mTold.add("sent");
+        }
+
+        @Override
+        public void streamStarted(ReplyHead head) {
+            mTold.add("stream");
+        }
+
+        @Override
+        public void event(Buffer event, long id) {
+            mTold.add("event " + id);
+        }
+
+        @Override
+        public void streamEnded() {
+            mEnd.complete("ended");
+        }
+
+        @Override
+        public void answered(ReplyHead head, Buffer body) {
+            mEnd.complete("answered " + head.status() + ' ' + body);
+        }
+
+        @Override
+        public void refused(boolean wasSent, String reason) {
+            mEnd.complete("refused");
+        }
+
+        @Override
+        public void broken(String reason) {
+            mEnd.complete("broken");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200,Id: r1|Signed: 1,answered 200 ab",
+        "500,Id: r1|Signed: 1,answered 500 ab",
+        "200,Id: r2|Signed: 1,broken",
+        "200,Signed: 1,broken",
+        "200,Id: r1,broken",
+        "503,Id: r1|Not-Run: 1,refused",
+        "503,Id: r1|Signed: 1,broken",
+        "429,Id: r1|Signed: 1,broken",
+        "421,Id: r1,refused"
+    })
+    void headDecides(int status, String headers, String expected) throws Exception {
+        String head = "HTTP/1.1 " + status + " x\r\n" + headers.replace("|", "\r\n") + "\r\n";
+        assertEquals(expected, run(head + "Content-Length: 2\r\n\r\nab", false));
+    }
+
+    @Test
+    void cutBodyIsNoAnswer() throws Exception {
+        assertEquals("broken", run(OK + "Content-Length: 9\r\n\r\nab", true));
+    }
+
+    @Test
+    void bytesThatAreNoAnswerBreakTheAttempt() throws Exception {
+        assertEquals("broken", run("what is this\r\n\r\n", true));
+    }
+
+    @Test
+    void wholeStreamIsPassedOnInOrder() throws Exception {
+        String events = chunk(event(1)) + chunk(event(2)) + LAST_CHUNK;
+        assertEquals("ended", run(EVENTS + events, false));
+        assertEquals(List.of("sent", "stream", "event 1", "event 2"), mTold);
+    }
+
+    @Test
+    void missingEventBreaksTheStream() throws Exception {
+        assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk(event(3)) + LAST_CHUNK, false));
+        assertEquals(List.of("sent", "stream", "event 1"), mTold);
+    }
+
+    @Test
+    void repeatedEventBreaksTheStream() throws Exception {
+        assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk(event(1)) + LAST_CHUNK, false));
+    }
+
+    @Test
+    void partOfAnEventIsNeverPassedOn() throws Exception {
+        assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk("id: 2\nda"), true));
+        assertEquals(List.of("sent", "stream", "event 1"), mTold);
+    }
+
+    @Test
+    void streamThatEndsWithinAnEventIsBroken() throws Exception {
+        assertEquals(
+                "broken", run(EVENTS + chunk(event(1)) + chunk("id: 2\n") + LAST_CHUNK, false));
+    }
+
+    @Test
+    void targetThatLeftBeforeTheSendGetsNothing() throws Exception {
+        mNode.state().setTargets(new TargetDirectory(List.of()));
+        assertEquals("refused", run(OK + "Content-Length: 0\r\n\r\n", false));
+        assertEquals(List.of(), mTold);
+    }
+}
