Give a job up only when its route stays missing

A job is claimed only when a configuration is known, and its route has to be missing for 8 s, since the configuration at hand may be older than the job. JobDeskTest failed in both cases before (one result written), and passes. The cleaner of old jobs moves into a class of its own.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
@@ -38,6 +38,7 @@
     private static final long RETRY_MS = 300;
     private static final long CLAIM_MS = 400;
     private static final long ANY_HOST_CLAIMS_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final long ROUTE_REMOVED_NANOS = TimeUnit.SECONDS.toNanos(8);
     private static final long CLEAN_MS = 5_000;
     private static final double TOLD_PART = 0.04;
     private static final int SEGMENT_CHARS = 600_000;
@@ -82,7 +83,7 @@
         every(PUMP_MS, this::pump);
         every(PUBLISH_MS, this::publishAll);
         every(CLAIM_MS, this::claimOwnerless);
-        every(CLEAN_MS, this::removeOld);
+        every(CLEAN_MS, new JobCleaner(mStorage, mIndex, mLease, mRetentionMs)::removeOld);
     }
 
     private void every(long periodMs, Runnable action) {
@@ -205,15 +206,30 @@
         for (OwnedJob job : byDueTime()) {
             ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
             if (route == null) {
-                giveUpRest(job, "route-removed");
+                routeMissing(job);
             } else if (isTooOld(job, route)) {
                 giveUpRest(job, "retention-over");
             } else {
+                job.routeFound();
                 runUncoordinated(job, route);
             }
         }
     }
 
+    /**
+     * Gives a job up whose route was removed. The route has to be missing for a while: the
+     * configuration at hand may be older than the job, or not be known yet.
+     */
+    private void routeMissing(OwnedJob job) {
+        long now = mNode.ticker().nanoTime();
+        if (!mNode.state().config().isKnown()) {
+            return;
+        }
+        if (now - job.routeMissingSince(now) > ROUTE_REMOVED_NANOS) {
+            giveUpRest(job, "route-removed");
+        }
+    }
+
     /** Starts items of services whose places nobody coordinates. */
     private void runUncoordinated(OwnedJob job, ServingRoute route) {
         long now = mNode.ticker().nanoTime();
@@ -384,7 +400,7 @@
     }
 
     private void claimOwnerless() {
-        if (mStopping || !mLease.isHeld()) {
+        if (mStopping || !mLease.isHeld() || !mNode.state().config().isKnown()) {
             return;
         }
         List<String> ownerless = mIndex.ownerless(mLease.host(), mLease.incarnation());
@@ -464,25 +480,6 @@
         return done.future();
     }
 
-    private void removeOld() {
-        long now = System.currentTimeMillis();
-        for (Map.Entry<String, JobSummary> entry : Map.copyOf(mIndex.jobs()).entrySet()) {
-            boolean old = now - entry.getValue().acceptedAtMs() > mRetentionMs;
-            boolean mine = mLease.host().equals(Rendezvous.owner(entry.getKey(), mIndex.hosts()));
-            boolean closed = entry.getValue().isComplete() || mIndex.isEnded(entry.getKey());
-            if (old && mine && closed) {
-                mStorage.remove(entry.getKey())
-                        .onSuccess(v -> LOG.info("step=job job={} outcome=removed", entry.getKey()))
-                        .onFailure(
-                                e ->
-                                        LOG.warn(
-                                                "step=job job={} outcome=not-removed cause={}",
-                                                entry.getKey(),
-                                                e.getMessage()));
-            }
-        }
-    }
-
     @Override
     public void close() {
         mTimers.forEach(mNode.vertx()::cancelTimer);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -15,6 +15,8 @@
     private final Map<Integer, ItemRun> mRuns = new HashMap<>();
     private JobSummary mSummary;
     private long mToldTokens;
+    private boolean mRouteMissing;
+    private long mRouteMissingSince;
     private @Nullable Write mWrite;
 
     /**
@@ -60,6 +62,20 @@
         return mRuns;
     }
 
+    /** Returns since when the job's route is missing: {@code now} when it was not before. */
+    long routeMissingSince(long now) {
+        if (!mRouteMissing) {
+            mRouteMissing = true;
+            mRouteMissingSince = now;
+        }
+        return mRouteMissingSince;
+    }
+
+    /** Notes that the configuration has the job's route. */
+    void routeFound() {
+        mRouteMissing = false;
+    }
+
     /** Returns the open tokens of the job as all hosts know them. */
     long toldTokens() {
         return mToldTokens;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobDeskTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobDeskTest.java
@@ -53,10 +53,14 @@
     }
 
     private JobDesk desk(String host) throws Exception {
+        return desk(host, config());
+    }
+
+    private JobDesk desk(String host, ServingConfig config) throws Exception {
         return onLoop(
                 () -> {
                     ServingFixture node = new ServingFixture(mVertx);
-                    node.state().adopt(config());
+                    node.state().adopt(config);
                     JobIndex index = new JobIndex();
                     HostLease lease =
                             new HostLease(
@@ -147,6 +151,26 @@
         assertEquals(1, jobs());
     }
 
+    /** A host that has just started may own a job before it has read any configuration. */
+    @Test
+    void jobIsNotGivenUpWhileNoConfigurationIsKnown() throws Exception {
+        assertEquals(Acceptance.ACCEPTED, accept(desk("a", ServingConfig.NONE), "job", 10));
+        assertEquals(0, results("job"));
+    }
+
+    /** The configuration at hand may be older than the route. */
+    @Test
+    void jobIsNotGivenUpAtOnceWhenItsRouteIsUnknown() throws Exception {
+        ServingConfig other =
+                new ServingConfig(1, List.of(), List.of(), null, CallerBounds.STANDARD);
+        assertEquals(Acceptance.ACCEPTED, accept(desk("a", other), "job", 10));
+        assertEquals(0, results("job"));
+    }
+
+    private long results(String job) throws Exception {
+        return onLoop(() -> Future.succeededFuture(mStore.count(ServingKeys.results(job))));
+    }
+
     @Test
     void jobOverTheLimitIsRefused() throws Exception {
         JobDesk desk = desk("a");
