--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/Logging.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Logging.java
@@ -1,9 +1,9 @@
 package org.sesamepin.cli;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
+import java.util.function.LongSupplier;
 import org.sesamepin.node.settings.LogFormat;
 import org.slf4j.LoggerFactory;
 
@@ -20,15 +20,13 @@
     /**
      * Sends all lines to standard output through a bounded queue. A full queue drops lines instead
      * of holding up the program.
+     *
+     * @return the number of lines dropped so far
      */
-    public static void toStandardOutput() {
+    public static LongSupplier toStandardOutput() {
         Logger root = root();
         LoggerContext context = root.getLoggerContext();
-        AsyncAppender queue = new AsyncAppender();
-        queue.setContext(context);
-        queue.setQueueSize(QUEUE_LINES);
-        queue.setDiscardingThreshold(0);
-        queue.setNeverBlock(true);
+        BoundedLogQueue queue = new BoundedLogQueue(context, QUEUE_LINES);
         queue.addAppender(
                 LogConfigurator.console(
                         context, "System.out", LogConfigurator.textEncoder(context)));
@@ -36,6 +34,7 @@
         root.detachAndStopAllAppenders();
         root.addAppender(queue);
         root.setLevel(Level.INFO);
+        return queue::dropped;
     }
 
     /** Writes the lines that are queued; nothing can be logged afterwards. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 
 /** Counters and histograms of a node that serves routes. */
 public final class ServingMetrics {
@@ -46,6 +48,15 @@
                 .register(mRegistry);
     }
 
+    /** Registers a counter that is kept elsewhere and read when it is asked for. */
+    public void counter(String name, String help, LongSupplier value) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsLong()))
+                .register(mRegistry);
+    }
+
     /** Counts a final answer. */
     public void answered(String route, String outcome) {
         mRequests.labelValues(route, outcome).inc();
