--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CallerServer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CallerServer.java
@@ -16,10 +16,12 @@
 import org.sesamepin.node.fleet.BundleKeeper;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.http.RequestHeadDecoder;
 
 /** Listens for callers on one event loop; several instances share the address. */
 public final class CallerServer extends VerticleBase {
     private static final int MAX_LINE_BYTES = 8_192;
+    private static final long HEAD_MS = 10_000;
     private static final int IDLE_SECONDS = 120;
 
     private final InetSocketAddress mAddress;
@@ -53,17 +55,14 @@
                         .setIdleTimeoutUnit(TimeUnit.SECONDS)
                         .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
+                .connectionHandler(c -> RequestHeadDecoder.install(c, options, () -> HEAD_MS))
                 .requestHandler(this::handle)
                 .invalidRequestHandler(CallerServer::refuseMalformed)
                 .listen(mAddress.getPort(), mAddress.getHostString());
     }
 
     private static void refuseMalformed(HttpServerRequest request) {
-        Problem problem =
-                new Problem(
-                        ProblemType.MALFORMED_REQUEST,
-                        Step.READ_REQUEST,
-                        "the request head cannot be read");
+        Problem problem = RequestHeadDecoder.problem(request);
         request.response().putHeader("Connection", "close");
         request.response().endHandler(v -> request.connection().close());
         problem.send(request.response(), UUID.randomUUID().toString());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -39,6 +39,11 @@
         return mRunning;
     }
 
+    /** Returns how long the head of a call may take to arrive, milliseconds. */
+    public long headTimeoutMs() {
+        return mNode.state().config().bounds().headerTimeoutMs();
+    }
+
     /** Answers one call. */
     public void handle(HttpServerRequest request, CallHead head) {
         long arrivedAt = mNode.ticker().nanoTime();
