Tell the coordinator which targets fail; let waiting requests lapse

Cause: a target's failures were known only to the host that met them, so the coordinator went on placing requests of the others there. Hosts now report them; a request avoids what failed its own host, and what failed two hosts. An ask that its host repeats replaced nothing and waited twice; one whose caller had left stayed in the queue of a remote coordinator. Tests in ServiceCoordinatorTest.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/serving/ServingConfig.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/serving/ServingConfig.java
@@ -103,11 +103,6 @@
         return mRoutesByName.get(name);
     }
 
-    /** Returns whether any route has this host name. */
-    public boolean knowsHost(String host) {
-        return mRoutesByHost.containsKey(hostName(host));
-    }
-
     /** Returns the customer that holds {@code key}, or null. */
     public @Nullable CustomerSpec customerByKey(String key) {
         return mCustomersByKey.get(key);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/HostLoads.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/HostLoads.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,6 +16,9 @@
 final class HostLoads {
     private static final long REPORT_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /** Hosts that have to find a target failing before requests of the others avoid it. */
+    private static final int AVOIDED_FROM = 2;
+
     /** Time in which a granted request shows in the reports of its host. */
     private static final long GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
@@ -33,13 +38,13 @@
 
     private record Grant(String host, String target, boolean batch, long at) {}
 
-    private record Report(Map<String, Count> counts, long at) {}
+    private record Report(Map<String, Count> counts, Set<String> failing, long at) {}
 
     private final Map<String, Report> mReports = new HashMap<>();
     private List<Grant> mGrants = new ArrayList<>();
 
-    void reported(String host, Map<String, Count> counts, long now) {
-        mReports.put(host, new Report(counts, now));
+    void reported(String host, Map<String, Count> counts, Set<String> failing, long now) {
+        mReports.put(host, new Report(counts, failing, now));
         mGrants.removeIf(grant -> grant.host().equals(host) && now - grant.at() > GRANT_NANOS);
     }
 
@@ -62,6 +67,27 @@
         return totals;
     }
 
+    /**
+     * Returns the targets that a request of {@code host} had better not be sent to: those that
+     * failed requests of that host, and those that failed several hosts. One other host's failures
+     * may come from its own path to the target. Empty when that would leave no target.
+     */
+    Set<String> avoided(String host, List<TargetInstance> targets) {
+        Map<String, Integer> failed = new HashMap<>();
+        mReports.forEach(
+                (reporter, report) -> {
+                    int weight = reporter.equals(host) ? AVOIDED_FROM : 1;
+                    report.failing().forEach(t -> failed.merge(t, weight, Integer::sum));
+                });
+        Set<String> avoided = new HashSet<>();
+        for (TargetInstance target : targets) {
+            if (failed.getOrDefault(target.incarnation(), 0) >= AVOIDED_FROM) {
+                avoided.add(target.incarnation());
+            }
+        }
+        return avoided.size() < targets.size() ? avoided : Set.of();
+    }
+
     /** Returns the host with the most batch items at {@code target}; empty when there is none. */
     String hostOfBatch(String target) {
         String best = "";
@@ -85,6 +111,6 @@
         Map<String, Count> counts = new HashMap<>(report.counts());
         Count count = counts.getOrDefault(target, Count.NONE);
         counts.put(target, new Count(count.online(), Math.max(0, count.batch() - 1)));
-        mReports.put(host, new Report(counts, report.at()));
+        mReports.put(host, new Report(counts, report.failing(), report.at()));
     }
 }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -38,6 +38,24 @@
             long deadline,
             Set<String> excluded) {}
 
+    /**
+     * What a host says of its requests at the targets of the service.
+     *
+     * @param host name of the host
+     * @param online online requests in flight, by incarnation of the target
+     * @param batch batch items in flight, by incarnation of the target
+     * @param failing incarnations of targets that lately failed requests of the host
+     * @param waitingItems batch items that wait at the host for a place
+     * @param due when the first of them is due
+     */
+    public record HostStatus(
+            String host,
+            Map<String, Integer> online,
+            Map<String, Integer> batch,
+            Set<String> failing,
+            int waitingItems,
+            long due) {}
+
     /**
      * A place for one request.
      *
@@ -69,19 +87,32 @@
     private static final double WAITABLE_PART = 0.6;
 
     private static final int MAX_QUEUE = 400;
+
+    /** Hosts repeat what waits more often than this; an ask that is not repeated has no caller. */
+    private static final long ASK_LIFE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long FIRST_SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final double GAIN = 0.1;
     private static final double REMOTE_COST = 0.04;
 
-    private static final Comparator<Ask> ORDER =
-            Comparator.comparingInt(Ask::rank)
-                    .thenComparing(ask -> !ask.returned())
-                    .thenComparingLong(Ask::deadline);
+    private static final Comparator<Queued> ORDER =
+            Comparator.comparing(
+                    Queued::ask,
+                    Comparator.comparingInt(Ask::rank)
+                            .thenComparing(ask -> !ask.returned())
+                            .thenComparingLong(Ask::deadline));
+
+    /** An ask that waits; {@code at} is when its host sent it last. */
+    private record Queued(Ask ask, long at) {}
 
-    private record Demand(int items, long due) {}
+    private record Demand(int items, long due) {
+        @Nullable Demand less() {
+            return items > 1 ? new Demand(items - 1, due) : null;
+        }
+    }
 
     private final HostLoads mLoads = new HostLoads();
-    private final List<Ask> mQueue = new ArrayList<>();
+    private final List<Queued> mQueue = new ArrayList<>();
     private final Map<String, Demand> mDemand = new HashMap<>();
     private double mServiceNanos = FIRST_SERVICE_NANOS;
 
@@ -90,41 +121,29 @@
         mServiceNanos += GAIN * (nanos - mServiceNanos);
     }
 
-    /**
-     * Takes in a host's report.
-     *
-     * @param online online requests in flight, by incarnation of the target
-     * @param batch batch items in flight, by incarnation of the target
-     * @param waitingItems batch items that wait at the host for a place
-     * @param due when the first of them is due
-     */
-    public void reported(
-            String host,
-            Map<String, Integer> online,
-            Map<String, Integer> batch,
-            int waitingItems,
-            long due,
-            long now) {
-        Set<String> targets = new HashSet<>(online.keySet());
-        targets.addAll(batch.keySet());
+    /** Takes in a host's report. */
+    public void reported(HostStatus status, long now) {
+        Set<String> targets = new HashSet<>(status.online().keySet());
+        targets.addAll(status.batch().keySet());
         Map<String, HostLoads.Count> counts = new HashMap<>();
         for (String target : targets) {
-            int onlineCount = online.getOrDefault(target, 0);
-            int batchCount = batch.getOrDefault(target, 0);
-            counts.put(target, new HostLoads.Count(onlineCount, batchCount));
+            int online = status.online().getOrDefault(target, 0);
+            int batch = status.batch().getOrDefault(target, 0);
+            counts.put(target, new HostLoads.Count(online, batch));
         }
-        mLoads.reported(host, counts, now);
-        if (waitingItems > 0) {
-            mDemand.put(host, new Demand(waitingItems, due));
+        mLoads.reported(status.host(), counts, status.failing(), now);
+        if (status.waitingItems() > 0) {
+            mDemand.put(status.host(), new Demand(status.waitingItems(), status.due()));
         } else {
-            mDemand.remove(host);
+            mDemand.remove(status.host());
         }
     }
 
     /** Places an online request, lets it wait, or refuses it. */
-    public Answer ask(Ask ask, List<TargetInstance> targets, Set<String> avoided, long now) {
+    public Answer ask(Ask ask, List<TargetInstance> targets, long now) {
         dropExpired(now);
-        Grant grant = place(ask, targets, avoided, now);
+        withdraw(ask.id());
+        Grant grant = place(ask, targets, now);
         if (grant != null) {
             return new Answer(grant, false, 0);
         }
@@ -135,7 +154,7 @@
         if (refused || targets.isEmpty()) {
             return new Answer(null, true, wait);
         }
-        mQueue.add(ask);
+        mQueue.add(new Queued(ask, now));
         mQueue.sort(ORDER);
         return new Answer(null, false, 0);
     }
@@ -145,21 +164,23 @@
         for (TargetInstance target : targets) {
             slots += target.slots();
         }
-        long before = mQueue.stream().filter(other -> ORDER.compare(other, ask) <= 0).count();
+        Queued own = new Queued(ask, 0);
+        long before = mQueue.stream().filter(other -> ORDER.compare(other, own) <= 0).count();
         return (long) ((before + 1) * mServiceNanos / Math.max(1, slots));
     }
 
     private void dropExpired(long now) {
-        mQueue.removeIf(ask -> now - ask.deadline() >= 0);
+        mQueue.removeIf(
+                queued -> now - queued.ask().deadline() >= 0 || now - queued.at() > ASK_LIFE_NANOS);
     }
 
     /** Forgets a request that waits. */
     public void withdraw(String askId) {
-        mQueue.removeIf(ask -> ask.id().equals(askId));
+        mQueue.removeIf(queued -> queued.ask().id().equals(askId));
     }
 
-    private @Nullable Grant place(
-            Ask ask, List<TargetInstance> targets, Set<String> avoided, long now) {
+    private @Nullable Grant place(Ask ask, List<TargetInstance> targets, long now) {
+        Set<String> avoided = mLoads.avoided(ask.host(), targets);
         Map<String, HostLoads.Count> totals = mLoads.totals(now);
         TargetInstance best = null;
         double bestCost = Double.MAX_VALUE;
@@ -202,55 +223,54 @@
     }
 
     /** Returns places for what waits: online requests first, then batch items by due time. */
-    public List<Grant> grants(List<TargetInstance> targets, Set<String> avoided, long now) {
+    public List<Grant> grants(List<TargetInstance> targets, long now) {
         dropExpired(now);
         List<Grant> grants = new ArrayList<>();
-        for (Ask ask : List.copyOf(mQueue)) {
-            Grant grant = place(ask, targets, avoided, now);
+        for (Queued queued : List.copyOf(mQueue)) {
+            Grant grant = place(queued.ask(), targets, now);
             if (grant != null) {
-                mQueue.remove(ask);
+                mQueue.remove(queued);
                 grants.add(grant);
             }
         }
         if (mQueue.isEmpty()) {
-            placeItems(targets, avoided, now, grants);
+            placeItems(targets, now, grants);
         }
         return grants;
     }
 
-    private void placeItems(
-            List<TargetInstance> targets, Set<String> avoided, long now, List<Grant> grants) {
+    private void placeItems(List<TargetInstance> targets, long now, List<Grant> grants) {
         while (!mDemand.isEmpty()) {
-            Map<String, HostLoads.Count> totals = mLoads.totals(now);
-            TargetInstance best = null;
-            double least = Double.MAX_VALUE;
-            for (TargetInstance target : targets) {
-                HostLoads.Count count =
-                        totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
-                int total = count.online() + count.batch();
-                boolean room = total + RESERVED_SLOTS < target.slots();
-                double occupancy = (double) total / Math.max(1, target.slots());
-                if (room && !avoided.contains(target.incarnation()) && occupancy < least) {
-                    least = occupancy;
-                    best = target;
-                }
-            }
-            if (best == null) {
-                return;
-            }
             String host = firstDue();
-            Demand demand = mDemand.get(host);
-            if (demand == null) {
+            Grant grant = placeItem(host, targets, now);
+            if (grant == null) {
                 return;
             }
-            if (demand.items() > 1) {
-                mDemand.put(host, new Demand(demand.items() - 1, demand.due()));
-            } else {
-                mDemand.remove(host);
+            grants.add(grant);
+            mDemand.computeIfPresent(host, (name, demand) -> demand.less());
+        }
+    }
+
+    private @Nullable Grant placeItem(String host, List<TargetInstance> targets, long now) {
+        Set<String> avoided = mLoads.avoided(host, targets);
+        Map<String, HostLoads.Count> totals = mLoads.totals(now);
+        TargetInstance best = null;
+        double least = Double.MAX_VALUE;
+        for (TargetInstance target : targets) {
+            HostLoads.Count count = totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
+            int total = count.online() + count.batch();
+            boolean room = total + RESERVED_SLOTS < target.slots();
+            double occupancy = (double) total / Math.max(1, target.slots());
+            if (room && !avoided.contains(target.incarnation()) && occupancy < least) {
+                least = occupancy;
+                best = target;
             }
-            mLoads.granted(host, best.incarnation(), true, now);
-            grants.add(new Grant("", host, best, least, ""));
         }
+        if (best == null) {
+            return null;
+        }
+        mLoads.granted(host, best.incarnation(), true, now);
+        return new Grant("", host, best, least, "");
     }
 
     private String firstDue() {
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetLoad.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetLoad.java
@@ -9,7 +9,6 @@
 public final class TargetLoad {
     private static final long FIRST_SUSPENSION_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final int MAX_SUSPENSION_DOUBLINGS = 3;
-    private static final double LATENCY_GAIN = 0.2;
 
     private int mOnline;
     private int mBatch;
@@ -18,7 +17,6 @@
     private int mFailures;
     private long mSuspendedUntil;
     private boolean mSuspended;
-    private double mTokenMs;
 
     /** Notes that this host sends a request. */
     public void started(boolean batch) {
@@ -63,16 +61,6 @@
         return mSuspended && now - mSuspendedUntil < 0;
     }
 
-    /** Takes in the time that a target took for each token of a stream, milliseconds. */
-    public void observeTokenMs(double tokenMs) {
-        mTokenMs = mTokenMs == 0 ? tokenMs : mTokenMs + LATENCY_GAIN * (tokenMs - mTokenMs);
-    }
-
-    /** Returns the mean time for each token, milliseconds; 0 when not known. */
-    public double tokenMs() {
-        return mTokenMs;
-    }
-
     /** Returns the requests in flight from all hosts. */
     public int inFlight() {
         return mOnline + mBatch + mPeerOnline + mPeerBatch;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -38,12 +38,27 @@
                 new ServiceCoordinator.Ask(
                         id, "host", 0, returned, 300 * MS, now + 5_000 * MS, Set.of()),
                 targets,
-                Set.of(),
                 now);
     }
 
     private void report(String host, Map<String, Integer> online, Map<String, Integer> batch) {
-        mCoordinator.reported(host, online, batch, 0, 0, 0);
+        report(host, online, batch, Set.of(), 0);
+    }
+
+    private void report(
+            String host,
+            Map<String, Integer> online,
+            Map<String, Integer> batch,
+            Set<String> failing,
+            long now) {
+        mCoordinator.reported(
+                new ServiceCoordinator.HostStatus(host, online, batch, failing, 0, 0), now);
+    }
+
+    private void reportItems(String host, int items, long due) {
+        mCoordinator.reported(
+                new ServiceCoordinator.HostStatus(host, Map.of(), Map.of(), Set.of(), items, due),
+                0);
     }
 
     @Test
@@ -93,16 +108,16 @@
         assertNull(returned.grant());
         assertEquals(1, mCoordinator.queued());
         report("host", Map.of("t0@1", SLOTS - 1), Map.of());
-        List<ServiceCoordinator.Grant> grants = mCoordinator.grants(targets, Set.of(), 100 * MS);
+        List<ServiceCoordinator.Grant> grants = mCoordinator.grants(targets, 100 * MS);
         assertEquals(List.of("returned"), grants.stream().map(g -> g.askId()).toList());
     }
 
     @Test
     void batchItemsLeaveASlotFreeAndGoToTheHostWhoseItemsAreDueFirst() {
         List<TargetInstance> targets = targets(1);
-        mCoordinator.reported("later", Map.of(), Map.of(), 9, 2_000 * MS, 0);
-        mCoordinator.reported("sooner", Map.of(), Map.of(), 2, 1_000 * MS, 0);
-        List<ServiceCoordinator.Grant> grants = mCoordinator.grants(targets, Set.of(), 0);
+        reportItems("later", 9, 2_000 * MS);
+        reportItems("sooner", 2, 1_000 * MS);
+        List<ServiceCoordinator.Grant> grants = mCoordinator.grants(targets, 0);
         assertEquals(
                 List.of("sooner", "sooner", "later"),
                 grants.stream().map(ServiceCoordinator.Grant::host).toList());
@@ -113,9 +128,9 @@
     void noItemStartsWhileAnOnlineRequestWaits() {
         List<TargetInstance> targets = targets(1);
         report("host", Map.of("t0@1", SLOTS + 1), Map.of());
-        mCoordinator.reported("items", Map.of(), Map.of(), 5, 0, 0);
+        reportItems("items", 5, 0);
         assertNull(ask("r", true, targets, 0).grant());
-        assertEquals(List.of(), mCoordinator.grants(targets, Set.of(), 0));
+        assertEquals(List.of(), mCoordinator.grants(targets, 0));
     }
 
     @Test
@@ -131,7 +146,55 @@
         List<TargetInstance> targets = targets(1);
         report("host", Map.of("t0@1", SLOTS + 1), Map.of());
         assertNull(ask("r", true, targets, 0).grant());
-        mCoordinator.reported("host", Map.of(), Map.of(), 0, 0, 6_000 * MS);
-        assertEquals(List.of(), mCoordinator.grants(targets, Set.of(), 6_000 * MS));
+        report("host", Map.of(), Map.of(), Set.of(), 6_000 * MS);
+        assertEquals(List.of(), mCoordinator.grants(targets, 6_000 * MS));
+    }
+
+    @Test
+    void repeatedAskWaitsOnce() {
+        List<TargetInstance> targets = targets(1);
+        report("host", Map.of("t0@1", SLOTS + 1), Map.of());
+        assertNull(ask("r", true, targets, 0).grant());
+        assertNull(ask("r", true, targets, 400 * MS).grant());
+        assertEquals(1, mCoordinator.queued());
+    }
+
+    @Test
+    void askThatItsHostNoLongerRepeatsGetsNoPlace() {
+        List<TargetInstance> targets = targets(1);
+        report("host", Map.of("t0@1", SLOTS + 1), Map.of());
+        assertNull(ask("r", true, targets, 0).grant());
+        report("host", Map.of(), Map.of(), Set.of(), 1_100 * MS);
+        assertEquals(List.of(), mCoordinator.grants(targets, 1_100 * MS));
+    }
+
+    @Test
+    void targetThatFailsTwoHostsGetsNoRequestOfAThird() {
+        List<TargetInstance> targets = targets(2);
+        report("other", Map.of("t1@1", SLOTS - 1), Map.of(), Set.of("t0@1"), 0);
+        report("another", Map.of(), Map.of(), Set.of("t0@1"), 0);
+        ServiceCoordinator.Grant grant = ask("r", false, targets, 0).grant();
+        assertNotNull(grant);
+        assertEquals("t1", grant.target().id());
+    }
+
+    @Test
+    void targetThatFailsOneHostGetsRequestsOfTheOthersOnly() {
+        List<TargetInstance> targets = targets(2);
+        report("other", Map.of("t1@1", SLOTS - 1), Map.of(), Set.of("t0@1"), 0);
+        ServiceCoordinator.Grant grant = ask("r", false, targets, 0).grant();
+        assertNotNull(grant);
+        assertEquals("t0", grant.target().id());
+        report("host", Map.of(), Map.of(), Set.of("t0@1"), 0);
+        grant = ask("r2", false, targets, 0).grant();
+        assertNotNull(grant);
+        assertEquals("t1", grant.target().id());
+    }
+
+    @Test
+    void onlyTargetIsUsedAlthoughItFails() {
+        List<TargetInstance> targets = targets(1);
+        report("host", Map.of(), Map.of(), Set.of("t0@1"), 0);
+        assertNotNull(ask("r", false, targets, 0).grant());
     }
 }
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorLookup.java
@@ -0,0 +1,75 @@
+package org.sesamepin.node.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.membership.Rendezvous;
+import org.sesamepin.core.serving.ServiceSpec;
+import org.sesamepin.core.time.Ticker;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Names the host that coordinates a service: rendezvous hashing over the hosts heard of late,
+ * without those that left a question unanswered. Hosts may disagree for a while; each counts what
+ * it is told. Confined to the event loop.
+ */
+final class CoordinatorLookup {
+    private static final Logger LOG = LoggerFactory.getLogger(CoordinatorLookup.class);
+    private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Ticker mTicker;
+    private final ServingState mState;
+    private final PeerTable mPeers;
+    private final Map<String, Long> mSuspectUntil = new HashMap<>();
+
+    CoordinatorLookup(Ticker ticker, ServingState state, PeerTable peers) {
+        mTicker = ticker;
+        mState = state;
+        mPeers = peers;
+    }
+
+    /** Returns the host that coordinates {@code service}; empty when nobody does. */
+    String coordinator(String service) {
+        ServiceSpec spec = mState.config().service(service);
+        if (spec == null || spec.slots() == 0) {
+            return "";
+        }
+        long now = mTicker.nanoTime();
+        List<String> hosts = new ArrayList<>();
+        hosts.add(mPeers.self());
+        for (PeerTable.Peer peer : mPeers.reachable()) {
+            Long suspect = mSuspectUntil.get(peer.name());
+            if (suspect == null || now - suspect >= 0) {
+                hosts.add(peer.name());
+            }
+        }
+        String owner = Rendezvous.owner(service, hosts);
+        return owner == null ? "" : owner;
+    }
+
+    /** Returns the peers that coordinate the services of the configuration. */
+    List<PeerTable.Peer> peers() {
+        Set<String> names = new HashSet<>();
+        mState.config().services().forEach(spec -> names.add(coordinator(spec.name())));
+        return mPeers.reachable().stream().filter(peer -> names.contains(peer.name())).toList();
+    }
+
+    /** Tells whether this host coordinates {@code service}. */
+    boolean isSelf(String service) {
+        return coordinator(service).equals(mPeers.self());
+    }
+
+    /** Passes over a host that did not answer, for a while. */
+    void suspect(PeerTable.Peer peer, Throwable cause) {
+        mSuspectUntil.put(peer.name(), mTicker.nanoTime() + SUSPECT_NANOS);
+        LOG.warn(
+                "step=place coordinator={} outcome=no-answer cause={}",
+                peer.name(),
+                cause.getMessage());
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -234,7 +234,7 @@
     public void streamEnded() {
         writeHeadOnce();
         mResponse.end();
-        mNode.places().observeService(mService, now() - mSentAt);
+        mNode.places().coordinator().observeService(mService, now() - mSentAt);
         finish("served", "events=" + mLastEventId);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -87,6 +87,15 @@
         return own;
     }
 
+    /** Returns the incarnations of the targets that lately failed requests of this host. */
+    public List<String> failing() {
+        long now = mTicker.nanoTime();
+        return mLoads.entrySet().stream()
+                .filter(entry -> entry.getValue().isSuspended(now))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /** Forgets targets that are gone and have nothing in flight. */
     public void retainRegistered(ServingState state) {
         mLoads.entrySet()
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReplyHead.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReplyHead.java
@@ -12,7 +12,6 @@
  * @param authentic whether the answer carries the target's signature
  * @param encoded whether the body is encoded, so that it is not the target's own
  * @param streamed whether the body is a stream of events
- * @param load what the target says of its load; null when it says nothing
  * @param passedOn headers that go to the caller
  */
 public record ReplyHead(
@@ -22,17 +21,7 @@
         boolean authentic,
         boolean encoded,
         boolean streamed,
-        @Nullable LoadReport load,
         MultiMap passedOn) {
-    /**
-     * A target's own count of its requests.
-     *
-     * @param running requests that run
-     * @param waiting requests that wait for a slot
-     * @param slots requests that can run at once
-     */
-    public record LoadReport(int running, int waiting, int slots) {}
-
     /** Tells whether the status says success. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -95,7 +95,7 @@
     private void tellCoordinators() {
         mSoon = false;
         HostReport report = report(mLoads.own());
-        mPlaces.reported(report);
+        mPlaces.coordinator().reported(report);
         PeerRequest request = PeerRequest.report(report);
         for (PeerTable.Peer peer : mPlaces.coordinatingPeers()) {
             tell(peer, request);
@@ -123,7 +123,7 @@
         for (PeerTable.Peer peer : round()) {
             tell(peer, request);
         }
-        mPlaces.reported(report(own));
+        mPlaces.coordinator().reported(report(own));
     }
 
     private List<PeerTable.Peer> round() {
@@ -145,7 +145,8 @@
                 own,
                 revisions(),
                 mBatch.waiting(),
-                mBatch.dueInMs());
+                mBatch.dueInMs(),
+                mLoads.failing());
     }
 
     /** Answers a peer's report with this host's own. */
@@ -160,7 +161,7 @@
         }
         mPeers.heard(report.getHost(), report.isStoreReachable());
         mLoads.reported(report);
-        mPlaces.reported(report);
+        mPlaces.coordinator().reported(report);
         if (isBehind(report) && !mCatchingUp) {
             mCatchingUp = true;
             mVertx.setTimer(CATCH_UP_MS, t -> catchUp(report));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -138,7 +138,6 @@
                 mState,
                 mPeers,
                 mPeerClient,
-                mLoads,
                 placement,
                 mMetrics,
                 new LateBatchWork());
@@ -214,7 +213,7 @@
         server.on(
                 PeerRequest._Fields.PLACE_ASK,
                 r -> {
-                    PlaceAnswer answer = mPlaces.answer(r.getPlaceAsk());
+                    PlaceAnswer answer = mPlaces.coordinator().answer(r.getPlaceAsk());
                     return Future.succeededFuture(PeerReply.placeAnswer(answer));
                 });
         server.on(
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -192,6 +192,8 @@
   7: map<string, i32> waitingItems
   // How soon the first of these items is due.
   8: i64 dueInMs
+  // Incarnations of targets that lately failed requests of this host.
+  9: list<string> failing
 }
 
 // Asks the coordinator of a service for a target.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -39,7 +39,6 @@
                         mState,
                         mPeers,
                         mPeerClient,
-                        loads,
                         placement,
                         metrics,
                         new NoBatchWork());
@@ -152,7 +151,6 @@
                     response.getHeader("Signed") != null,
                     false,
                     response.getHeader("Events") != null,
-                    null,
                     MultiMap.caseInsensitiveMultiMap());
         }
     }
