Place requests and items on fast targets first

Ruled out: the engines' load (per-event times do not grow with it), full slots in the troughs. Hosts measure the time between events and tell the coordinator; a free slot of a fast target goes first, and items wait for a target within twice the fastest unless their backlog exceeds the slots of those.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/Placement.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/Placement.java
@@ -40,13 +40,14 @@
     public @Nullable Choice online(List<TargetInstance> targets, Set<String> tried, long now) {
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
+        double fastest = fastestEventMs(targets);
         for (TargetInstance target : targets) {
             if (tried.contains(target.incarnation())) {
                 continue;
             }
             TargetLoad load = mLoads.apply(target);
             double occupancy = (double) load.inFlight() / Math.max(1, target.slots());
-            double cost = cost(target, load, occupancy, now);
+            double cost = cost(target, load, occupancy, now) * slowness(load, fastest);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = new Choice(target, occupancy);
@@ -55,8 +56,21 @@
         return best;
     }
 
+    private double fastestEventMs(List<TargetInstance> targets) {
+        double fastest = Double.MAX_VALUE;
+        for (TargetInstance target : targets) {
+            double eventMs = mLoads.apply(target).eventMs();
+            fastest = eventMs > 0 ? Math.min(fastest, eventMs) : fastest;
+        }
+        return fastest;
+    }
+
+    private static double slowness(TargetLoad load, double fastest) {
+        return load.eventMs() > 0 ? load.eventMs() / fastest : 1;
+    }
+
     private double cost(TargetInstance target, TargetLoad load, double occupancy, long now) {
-        double cost = occupancy + JITTER * mRandom.nextDouble();
+        double cost = 1 + occupancy + JITTER * mRandom.nextDouble();
         if (!target.failureDomain().equals(mOwnDomain)) {
             cost += REMOTE_DOMAIN_COST;
         }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -14,8 +14,8 @@
  * Places the requests of all hosts on the targets of one service, which admit requests in the order
  * of their arrival and know no ranks. Answers pulses that fill all targets: batch items give way at
  * once, then online requests wait here for the first free slot, and what cannot be served in time
- * is refused at once. All state is soft: another host can go on from the reports alone. Not
- * thread-safe.
+ * is refused at once. A slot of a fast target is taken before one of a slow target. All state is
+ * soft: another host can go on from the reports alone. Not thread-safe.
  */
 public final class ServiceCoordinator {
     /**
@@ -45,6 +45,8 @@
      * @param online online requests in flight, by incarnation of the target
      * @param batch batch items in flight, by incarnation of the target
      * @param failing incarnations of targets that lately failed requests of the host
+     * @param eventMs mean time between two events of a stream, milliseconds, by incarnation; empty
+     *     when the host tells nothing new
      * @param waitingItems batch items that wait at the host for a place
      * @param due when the first of them is due
      */
@@ -53,6 +55,7 @@
             Map<String, Integer> online,
             Map<String, Integer> batch,
             Set<String> failing,
+            Map<String, Double> eventMs,
             int waitingItems,
             long due) {}
 
@@ -93,7 +96,19 @@
 
     private static final long FIRST_SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final double GAIN = 0.1;
-    private static final double REMOTE_COST = 0.04;
+
+    /** How much an item at a target counts beside an online request, since it gives way. */
+    private static final double ITEM_WEIGHT = 0.04;
+
+    /** More than the cost of any target with a free slot. */
+    private static final double PREEMPTION_COST = 1_000;
+
+    private static final double QUEUEING_COST = 2_000;
+
+    /**
+     * Items wait for a faster target rather than run this many times longer than on the fastest.
+     */
+    private static final double MAX_ITEM_SLOWNESS = 2;
 
     private static final Comparator<Queued> ORDER =
             Comparator.comparing(
@@ -112,6 +127,7 @@
     }
 
     private final HostLoads mLoads = new HostLoads();
+    private final TargetSpeeds mSpeeds = new TargetSpeeds();
     private final List<Queued> mQueue = new ArrayList<>();
     private final Map<String, Demand> mDemand = new HashMap<>();
     private double mServiceNanos = FIRST_SERVICE_NANOS;
@@ -132,6 +148,7 @@
             counts.put(target, new HostLoads.Count(online, batch));
         }
         mLoads.reported(status.host(), counts, status.failing(), now);
+        mSpeeds.reported(status.host(), status.eventMs());
         if (status.waitingItems() > 0) {
             mDemand.put(status.host(), new Demand(status.waitingItems(), status.due()));
         } else {
@@ -182,6 +199,7 @@
     private @Nullable Grant place(Ask ask, List<TargetInstance> targets, long now) {
         Set<String> avoided = mLoads.avoided(ask.host(), targets);
         Map<String, HostLoads.Count> totals = mLoads.totals(now);
+        Map<String, Double> slowness = mSpeeds.slowness(targets);
         TargetInstance best = null;
         double bestCost = Double.MAX_VALUE;
         for (TargetInstance target : targets) {
@@ -191,10 +209,12 @@
             if (!room || isExcluded(ask, target, avoided)) {
                 continue;
             }
-            // A batch item there gives way, so it counts less than an online request.
-            double cost = (count.online() + count.batch() * REMOTE_COST) / target.slots();
+            double load = (count.online() + count.batch() * ITEM_WEIGHT) / target.slots();
+            double cost = slowness.getOrDefault(target.incarnation(), 1.0) * (1 + load);
             boolean full = count.online() + count.batch() >= target.slots();
-            cost += full ? (count.batch() > 0 ? 1 : 2) : 0;
+            if (full) {
+                cost += count.batch() > 0 ? PREEMPTION_COST : QUEUEING_COST;
+            }
             if (cost < bestCost) {
                 bestCost = cost;
                 best = target;
@@ -254,15 +274,19 @@
     private @Nullable Grant placeItem(String host, List<TargetInstance> targets, long now) {
         Set<String> avoided = mLoads.avoided(host, targets);
         Map<String, HostLoads.Count> totals = mLoads.totals(now);
+        Map<String, Double> slowness = mSpeeds.slowness(targets);
+        double slowest = hasBacklog(targets, slowness) ? Double.MAX_VALUE : MAX_ITEM_SLOWNESS;
         TargetInstance best = null;
-        double least = Double.MAX_VALUE;
+        double leastCost = Double.MAX_VALUE;
         for (TargetInstance target : targets) {
             HostLoads.Count count = totals.getOrDefault(target.incarnation(), HostLoads.Count.NONE);
             int total = count.online() + count.batch();
             boolean room = total + RESERVED_SLOTS < target.slots();
-            double occupancy = (double) total / Math.max(1, target.slots());
-            if (room && !avoided.contains(target.incarnation()) && occupancy < least) {
-                least = occupancy;
+            double slow = slowness.getOrDefault(target.incarnation(), 1.0);
+            double cost = slow * (1 + (double) total / Math.max(1, target.slots()));
+            boolean usable = room && slow <= slowest && !avoided.contains(target.incarnation());
+            if (usable && cost < leastCost) {
+                leastCost = cost;
                 best = target;
             }
         }
@@ -270,7 +294,18 @@
             return null;
         }
         mLoads.granted(host, best.incarnation(), true, now);
-        return new Grant("", host, best, least, "");
+        return new Grant("", host, best, 0, "");
+    }
+
+    /** Tells whether more items wait than the faster targets have slots. */
+    private boolean hasBacklog(List<TargetInstance> targets, Map<String, Double> slowness) {
+        int waiting = mDemand.values().stream().mapToInt(Demand::items).sum();
+        int slots = 0;
+        for (TargetInstance target : targets) {
+            boolean fast = slowness.getOrDefault(target.incarnation(), 1.0) <= MAX_ITEM_SLOWNESS;
+            slots += fast ? target.slots() : 0;
+        }
+        return waiting > slots;
     }
 
     private String firstDue() {
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetLoad.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetLoad.java
@@ -9,6 +9,7 @@
 public final class TargetLoad {
     private static final long FIRST_SUSPENSION_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final int MAX_SUSPENSION_DOUBLINGS = 3;
+    private static final double EVENT_GAIN = 0.2;
 
     private int mOnline;
     private int mBatch;
@@ -17,6 +18,7 @@
     private int mFailures;
     private long mSuspendedUntil;
     private boolean mSuspended;
+    private double mEventMs;
 
     /** Notes that this host sends a request. */
     public void started(boolean batch) {
@@ -61,6 +63,16 @@
         return mSuspended && now - mSuspendedUntil < 0;
     }
 
+    /** Takes in the mean time between two events of a stream, milliseconds. */
+    public void observeEventMs(double eventMs) {
+        mEventMs = mEventMs == 0 ? eventMs : mEventMs + EVENT_GAIN * (eventMs - mEventMs);
+    }
+
+    /** Returns the mean time between two events of a stream, milliseconds; 0 when not known. */
+    public double eventMs() {
+        return mEventMs;
+    }
+
     /** Returns the requests in flight from all hosts. */
     public int inFlight() {
         return mOnline + mBatch + mPeerOnline + mPeerBatch;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -52,12 +52,14 @@
             Set<String> failing,
             long now) {
         mCoordinator.reported(
-                new ServiceCoordinator.HostStatus(host, online, batch, failing, 0, 0), now);
+                new ServiceCoordinator.HostStatus(host, online, batch, failing, Map.of(), 0, 0),
+                now);
     }
 
     private void reportItems(String host, int items, long due) {
         mCoordinator.reported(
-                new ServiceCoordinator.HostStatus(host, Map.of(), Map.of(), Set.of(), items, due),
+                new ServiceCoordinator.HostStatus(
+                        host, Map.of(), Map.of(), Set.of(), Map.of(), items, due),
                 0);
     }
 
@@ -197,4 +199,43 @@
         report("host", Map.of(), Map.of(), Set.of("t0@1"), 0);
         assertNotNull(ask("r", false, targets, 0).grant());
     }
+
+    private void reportSpeeds(Map<String, Double> eventMs) {
+        mCoordinator.reported(
+                new ServiceCoordinator.HostStatus(
+                        "measuring", Map.of(), Map.of(), Set.of(), eventMs, 0, 0),
+                0);
+    }
+
+    private List<String> placed(int requests, List<TargetInstance> targets) {
+        List<String> placed = new ArrayList<>();
+        for (int i = 0; i < requests; i++) {
+            ServiceCoordinator.Grant grant = ask("r" + i, false, targets, 0).grant();
+            assertNotNull(grant);
+            placed.add(grant.target().id());
+        }
+        return placed;
+    }
+
+    @Test
+    void fastTargetIsFilledBeforeOneThatTakesThreeTimesAsLong() {
+        reportSpeeds(Map.of("t0@1", 45.0, "t1@1", 15.0));
+        assertEquals(List.of("t1", "t1", "t1", "t1", "t0"), placed(SLOTS + 1, targets(2)));
+    }
+
+    @Test
+    void targetThatNobodyMeasuredIsTried() {
+        reportSpeeds(Map.of("t0@1", 45.0, "t1@1", 15.0));
+        assertTrue(placed(2, targets(3)).contains("t2"));
+    }
+
+    @Test
+    void itemsWaitForFastTargetsUnlessTheirBacklogExceedsThose() {
+        List<TargetInstance> targets = targets(2);
+        reportSpeeds(Map.of("t0@1", 45.0, "t1@1", 15.0));
+        reportItems("few", SLOTS, 0);
+        assertEquals(SLOTS - 1, mCoordinator.grants(targets, 0).size());
+        reportItems("many", 3 * SLOTS, 0);
+        assertEquals(SLOTS - 1, mCoordinator.grants(targets, 0).size());
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorDesk.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorDesk.java
@@ -166,7 +166,13 @@
         of(service)
                 .reported(
                         new ServiceCoordinator.HostStatus(
-                                report.getHost(), online, batch, failing, waiting, due),
+                                report.getHost(),
+                                online,
+                                batch,
+                                failing,
+                                report.getEventMs(),
+                                waiting,
+                                due),
                         now);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -96,6 +96,21 @@
                 .toList();
     }
 
+    /**
+     * Returns the mean time between two events of a stream, milliseconds, by incarnation, for the
+     * targets that this host has measured.
+     */
+    public Map<String, Double> eventMs() {
+        Map<String, Double> eventMs = new HashMap<>();
+        mLoads.forEach(
+                (incarnation, load) -> {
+                    if (load.eventMs() > 0) {
+                        eventMs.put(incarnation, load.eventMs());
+                    }
+                });
+        return eventMs;
+    }
+
     /** Forgets targets that are gone and have nothing in flight. */
     public void retainRegistered(ServingState state) {
         mLoads.entrySet()
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -94,7 +95,7 @@
 
     private void tellCoordinators() {
         mSoon = false;
-        HostReport report = report(mLoads.own());
+        HostReport report = report(mLoads.own(), Map.of());
         mPlaces.coordinator().reported(report);
         PeerRequest request = PeerRequest.report(report);
         for (PeerTable.Peer peer : mPlaces.coordinatingPeers()) {
@@ -119,11 +120,12 @@
         mLastSent = own;
         mLastSentAt = now;
         mLastVersion = version;
-        PeerRequest request = PeerRequest.report(report(own));
+        HostReport report = report(own, mLoads.eventMs());
+        PeerRequest request = PeerRequest.report(report);
         for (PeerTable.Peer peer : round()) {
             tell(peer, request);
         }
-        mPlaces.coordinator().reported(report(own));
+        mPlaces.coordinator().reported(report);
     }
 
     private List<PeerTable.Peer> round() {
@@ -136,7 +138,7 @@
         return all.subList(0, MAX_PEERS);
     }
 
-    private HostReport report(List<InFlight> own) {
+    private HostReport report(List<InFlight> own, Map<String, Double> eventMs) {
         return new HostReport(
                 mPeers.self(),
                 mIncarnation,
@@ -146,13 +148,14 @@
                 revisions(),
                 mBatch.waiting(),
                 mBatch.dueInMs(),
-                mLoads.failing());
+                mLoads.failing(),
+                eventMs);
     }
 
     /** Answers a peer's report with this host's own. */
     public PeerReply answer(HostReport report) {
         heard(report);
-        return PeerReply.report(report(mLoads.own()));
+        return PeerReply.report(report(mLoads.own(), Map.of()));
     }
 
     private void heard(HostReport report) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -76,6 +76,7 @@
     private long mSilenceTimer = -1;
     private long mProgressAt;
     private long mLastEventId;
+    private final EventClock mClock = new EventClock();
     private boolean mSent;
     private boolean mEnded;
 
@@ -210,6 +211,7 @@
             return;
         }
         mLastEventId = id;
+        mClock.event(mProgressAt);
         mListener.event(event, id);
     }
 
@@ -286,6 +288,7 @@
             return;
         }
         if (paused) {
+            mClock.disturbed();
             response.pause();
         } else {
             response.resume();
@@ -294,6 +297,7 @@
 
     private void end() {
         mEnded = true;
+        mClock.meanMs().ifPresent(mLoad::observeEventMs);
         mNode.loads().ended(mTarget, mPlan.batch());
         if (mSilenceTimer >= 0) {
             vertx().cancelTimer(mSilenceTimer);
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -194,6 +194,9 @@
   8: i64 dueInMs
   // Incarnations of targets that lately failed requests of this host.
   9: list<string> failing
+  // Mean time between two events of a stream, by incarnation of the target, in milliseconds; empty
+  // where nothing new is told.
+  10: map<string, double> eventMs
 }
 
 // Asks the coordinator of a service for a target.
