Let the time after which a peer counts as silent follow the size of the fleet

The limit is now 1.5 s for each turn, and coordinators are told in every turn. PeerTableTest failed for 62 peers before. Not measured on a large deployment yet.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
@@ -21,7 +21,12 @@
      */
     public record Peer(String name, String address) {}
 
-    private static final long HEARD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    /** Peers that a host tells of itself at once; in a larger fleet it tells them in turns. */
+    static final int PEERS_IN_TURN = 12;
+
+    /** Three times the longest pause between two turns. */
+    private static final long HEARD_IN_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     private static final long SHARE_HELD_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final Ticker mTicker;
@@ -75,7 +80,13 @@
 
     private boolean isReachable(Peer peer) {
         Long at = mHeardAt.get(peer.name());
-        return at != null && mTicker.nanoTime() - at < HEARD_NANOS;
+        return at != null && mTicker.nanoTime() - at < heardNanos();
+    }
+
+    /** Returns how long a host may be silent and yet live, as it tells all peers in turns. */
+    private long heardNanos() {
+        int turns = (mPeers.size() + PEERS_IN_TURN - 1) / PEERS_IN_TURN;
+        return HEARD_IN_TURN_NANOS * Math.max(1, turns);
     }
 
     /** Returns the peers that were heard a short time ago. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,9 +32,6 @@
     private static final long TIMEOUT_MS = 400;
     private static final long CATCH_UP_MS = 250;
 
-    /** Peers told in one round; larger fleets are told in turns. */
-    private static final int MAX_PEERS = 12;
-
     private final Vertx mVertx;
     private final Ticker mTicker;
     private final ServingState mState;
@@ -122,20 +120,24 @@
         mLastVersion = version;
         HostReport report = report(own, mLoads.eventMs());
         PeerRequest request = PeerRequest.report(report);
-        for (PeerTable.Peer peer : round()) {
+        for (PeerTable.Peer peer : turn()) {
             tell(peer, request);
         }
         mPlaces.coordinator().reported(report);
     }
 
-    private List<PeerTable.Peer> round() {
+    /** Returns the peers whose turn it is, and those that place requests for all hosts. */
+    private Set<PeerTable.Peer> turn() {
         List<PeerTable.Peer> all = new ArrayList<>(mPeers.registered());
-        if (all.size() <= MAX_PEERS) {
-            return all;
+        if (all.size() <= PeerTable.PEERS_IN_TURN) {
+            return Set.copyOf(all);
         }
-        Collections.rotate(all, mTurn);
-        mTurn += MAX_PEERS;
-        return all.subList(0, MAX_PEERS);
+        all.sort(Comparator.comparing(PeerTable.Peer::name));
+        Collections.rotate(all, -mTurn);
+        mTurn = (mTurn + PeerTable.PEERS_IN_TURN) % all.size();
+        Set<PeerTable.Peer> turn = new HashSet<>(all.subList(0, PeerTable.PEERS_IN_TURN));
+        turn.addAll(mPlaces.coordinatingPeers());
+        return turn;
     }
 
     private HostReport report(List<InFlight> own, Map<String, Double> eventMs) {
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PeerTableTest.java
@@ -0,0 +1,25 @@
+package org.sesamepin.node.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** How long a silent peer counts as reachable, in fleets of several sizes. */
+class PeerTableTest {
+    private long mNow;
+
+    @ParameterizedTest
+    @CsvSource({"7, 1499, true", "7, 1500, false", "62, 8999, true", "62, 9000, false"})
+    void silenceThatCountsGrowsWithTheTurnsInWhichAHostTellsItsPeers(
+            int peers, long silentMs, boolean reachable) {
+        PeerTable table = new PeerTable(() -> mNow, "self");
+        for (int i = 0; i < peers; i++) {
+            table.registered(new PeerTable.Peer("host-" + i, "127.0.0.1:" + (1_000 + i)));
+        }
+        table.heard("host-0", true);
+        mNow = TimeUnit.MILLISECONDS.toNanos(silentMs);
+        assertEquals(reachable, table.find("host-0") != null);
+    }
+}
