Run batch items that can be in time before those that cannot; count store calls

Two reasons: a host told its earliest job's due time even when that job had no item left to place, and an overdue job went before all that could still be in time, so the whole backlog ended late. Ruled out: idle slots, slow claims (2 s behind the power), the pace of publishing. DueOrder puts what can no longer be in time last; only jobs with items to place are told; an item that is further goes first; the item of the least urgent job gives way.

Store calls are counted by kind and outcome (sesamepin_store_calls).

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -79,28 +79,30 @@
         }
     }
 
-    /** Returns the index of the next item to run, or -1 when none can run now. */
+    /**
+     * Returns the index of the next item to run, or -1 when none can run now: the one that is
+     * furthest, so that few items are half done when the owner dies.
+     */
     public int next(long now) {
+        int next = -1;
         for (int i = 0; i < mItems.size(); i++) {
             Item item = mItems.get(i);
-            boolean waits = item.mBackedOff && now - item.mNotBefore < 0;
-            if (item.mState == State.OPEN && !waits) {
-                return i;
+            boolean further = next < 0 || item.mLastEventId > mItems.get(next).mLastEventId;
+            if (canRun(item, now) && further) {
+                next = i;
             }
         }
-        return -1;
+        return next;
+    }
+
+    private static boolean canRun(Item item, long now) {
+        boolean waits = item.mBackedOff && now - item.mNotBefore < 0;
+        return item.mState == State.OPEN && !waits;
     }
 
     /** Returns the number of items that could run now. */
     public int waiting(long now) {
-        int waiting = 0;
-        for (Item item : mItems) {
-            boolean waits = item.mBackedOff && now - item.mNotBefore < 0;
-            if (item.mState == State.OPEN && !waits) {
-                waiting++;
-            }
-        }
-        return waiting;
+        return (int) mItems.stream().filter(item -> canRun(item, now)).count();
     }
 
     /** Returns item {@code index}. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.job.DueOrder;
 
 /**
  * Places the requests of all hosts on the targets of one service, which admit requests in the order
@@ -261,7 +262,7 @@
 
     private void placeItems(List<TargetInstance> targets, long now, List<Grant> grants) {
         while (!mDemand.isEmpty()) {
-            String host = firstDue();
+            String host = firstDue(now);
             Grant grant = placeItem(host, targets, now);
             if (grant == null) {
                 return;
@@ -308,14 +309,14 @@
         return waiting > slots;
     }
 
-    private String firstDue() {
+    private String firstDue(long now) {
         String first = "";
-        long due = Long.MAX_VALUE;
+        long firstDueInMs = 0;
         for (Map.Entry<String, Demand> entry : mDemand.entrySet()) {
-            boolean earlier = first.isEmpty() || entry.getValue().due() < due;
-            if (earlier) {
+            long dueInMs = TimeUnit.NANOSECONDS.toMillis(entry.getValue().due() - now);
+            if (first.isEmpty() || DueOrder.compare(dueInMs, firstDueInMs) < 0) {
                 first = entry.getKey();
-                due = entry.getValue().due();
+                firstDueInMs = dueInMs;
             }
         }
         return first;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -45,6 +45,17 @@
         assertEquals(List.of(new JobResult("i0", true, "a\nb\nc")), progress.pending(100));
     }
 
+    @Test
+    void suspendedItemGoesBeforeOneThatHasNotBegun() {
+        JobProgress progress = progress(3);
+        progress.started(1);
+        progress.event(1, 1, "a");
+        progress.suspended(1);
+        assertEquals(1, progress.next(0));
+        progress.started(1);
+        assertEquals(0, progress.next(0));
+    }
+
     @Test
     void brokenItemWaitsBeforeItRunsAgain() {
         JobProgress progress = progress(1);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobOwner.java
@@ -2,13 +2,14 @@
 
 import io.vertx.core.Future;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.job.DueOrder;
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetInstance;
@@ -114,7 +115,9 @@
 
     @Override
     public boolean suspendOne(TargetInstance target) {
-        for (OwnedJob job : mOwned.all()) {
+        List<OwnedJob> jobs = byDueTime();
+        Collections.reverse(jobs);
+        for (OwnedJob job : jobs) {
             for (ItemRun run : job.runs().values()) {
                 if (run.target().equals(target)) {
                     run.suspend();
@@ -127,13 +130,15 @@
 
     private List<OwnedJob> byDueTime() {
         List<OwnedJob> jobs = new ArrayList<>(mOwned.all());
-        jobs.sort(Comparator.comparingLong(this::dueAtMs));
+        long now = System.currentTimeMillis();
+        jobs.sort((job, other) -> DueOrder.compare(dueInMs(job, now), dueInMs(other, now)));
         return jobs;
     }
 
-    private long dueAtMs(OwnedJob job) {
+    private long dueInMs(OwnedJob job, long nowMs) {
         ServingRoute route = mNode.state().config().routeNamed(job.summary().route());
-        return job.summary().acceptedAtMs() + (route == null ? 0 : route.completionMs());
+        long completionMs = route == null ? 0 : route.completionMs();
+        return job.summary().acceptedAtMs() + completionMs - nowMs;
     }
 
     @Override
@@ -177,8 +182,13 @@
 
     @Override
     public long dueInMs() {
-        long now = System.currentTimeMillis();
-        return byDueTime().stream().findFirst().map(job -> dueAtMs(job) - now).orElse(0L);
+        long nowMs = System.currentTimeMillis();
+        long now = mNode.ticker().nanoTime();
+        return byDueTime().stream()
+                .filter(job -> job.progress().waiting(now) > 0)
+                .findFirst()
+                .map(job -> dueInMs(job, nowMs))
+                .orElse(0L);
     }
 
     private void pump() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorDesk.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorDesk.java
@@ -97,6 +97,11 @@
                 new HashSet<>(message.getExcluded()));
     }
 
+    /** Returns the number of requests that wait for a slot. */
+    int queued() {
+        return mCoordinators.values().stream().mapToInt(ServiceCoordinator::queued).sum();
+    }
+
     /** Forgets a request that waits here. */
     void withdraw(String id, String service) {
         of(service).withdraw(id);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -25,6 +25,8 @@
             counter("sesamepin_target_attempts", "Sends to targets.", "service", "outcome");
     private final Counter mPreemptions =
             counter("sesamepin_items_preempted", "Batch items that gave way.");
+    private final Counter mStoreCalls =
+            counter("sesamepin_store_calls", "Calls to the store.", "kind", "outcome");
     private final Counter mItems = counter("sesamepin_items", "Batch items by end.", "outcome");
     private final Histogram mFirst =
             Histogram.builder()
@@ -67,6 +69,11 @@
         mAttempts.labelValues(service, outcome).inc();
     }
 
+    /** Counts a call to the store. */
+    public void storeCall(String kind, String outcome) {
+        mStoreCalls.labelValues(kind, outcome).inc();
+    }
+
     /** Counts a batch item that gave way to an online request. */
     public void preempted() {
         mPreemptions.inc();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -71,11 +71,12 @@
             Vertx vertx,
             ServingSettings settings,
             FleetProtocol protocol,
-            WatchableStore store,
+            WatchableStore platformStore,
             StoreMirror.Listener operatorListener) {
         mVertx = vertx;
         mSettings = settings;
         mProtocol = protocol;
+        WatchableStore store = new MeteredStore(platformStore, mMetrics);
         mStore = mCloser.add(store);
         long incarnation = System.currentTimeMillis();
         mPeers = new PeerTable(mTicker, settings.host());
@@ -263,6 +264,14 @@
         mMetrics.gauge(
                 "sesamepin_targets", "Registered targets.", () -> mState.targets().all().size());
         mMetrics.gauge("sesamepin_peers", "Peers heard lately.", () -> mPeers.reachable().size());
+        mMetrics.gauge(
+                "sesamepin_store_reachable",
+                "1 when the store answered the last call of this host itself.",
+                () -> mStore.isDirectlyReachable() ? 1 : 0);
+        mMetrics.gauge(
+                "sesamepin_requests_waiting",
+                "Requests of all hosts that wait here for a slot.",
+                () -> mPlaces.coordinator().queued());
         mMetrics.gauge("sesamepin_jobs_owned", "Jobs owned.", mJobOwner::ownedJobs);
         mMetrics.gauge("sesamepin_items_running", "Batch items that run.", mJobOwner::runningItems);
     }
