Take changes of jobs in batches where they flow steadily

Cause: each accepted and each completed job woke the watch of every host. Ruled out: renewals (a tenth each), lists. WatchPace lets a few changes through at once and holds a steady flow back for hosts / 20 seconds, 1.5 s at most. A host that meets a conflict at an acceptance takes the changes at once, and the owner of an ended job is told by the host that ended it.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobDesk.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobDesk.java
@@ -17,6 +17,7 @@
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.peer.generated.JobNotice;
 import org.sesamepin.node.peer.generated.JobRead;
 import org.sesamepin.node.peer.generated.JobReadReply;
 import org.sesamepin.node.peer.generated.JobResultEntry;
@@ -67,12 +68,17 @@
     private final JobOwner mOwner;
     private final PeerTable mPeers;
     private final PeerClient mClient;
+    private final Runnable mCatchUp;
     private final Map<String, List<Promise<Void>>> mWaiting = new HashMap<>();
     private final Map<String, List<JobResult>> mResults = cache();
     private final Map<String, List<JobItem>> mItems = cache();
     private final Map<String, Future<List<JobResult>>> mLoading = new HashMap<>();
 
-    /** Creates a desk. */
+    /**
+     * Creates a desk.
+     *
+     * @param catchUp makes the index take the latest changes of the store
+     */
     public JobDesk(
             ServingContext node,
             JobStorage storage,
@@ -80,7 +86,8 @@
             HostLease lease,
             JobOwner owner,
             PeerTable peers,
-            PeerClient client) {
+            PeerClient client,
+            Runnable catchUp) {
         mNode = node;
         mStorage = storage;
         mIndex = index;
@@ -88,6 +95,7 @@
         mOwner = owner;
         mPeers = peers;
         mClient = client;
+        mCatchUp = catchUp;
         index.onChange(this::changed);
     }
 
@@ -232,6 +240,7 @@
         if (attempt >= MAX_TRIES) {
             return Future.succeededFuture(inDoubt ? Acceptance.UNKNOWN : Acceptance.NOT_STORED);
         }
+        mCatchUp.run();
         return mNode.vertx()
                 .timer(INDEX_POLL_MS * attempt, TimeUnit.MILLISECONDS)
                 .compose(t -> accept(job, customer, route, items, attempt + 1, inDoubt));
@@ -418,7 +427,29 @@
     /** Ends a job for its customer; no further item of it starts once this succeeds. */
     public Future<Void> end(String job) {
         return mStorage.end(job)
-                .onSuccess(r -> LOG.info("step=job-end job={} revision={}", job, r.revision()))
+                .onSuccess(
+                        r -> {
+                            LOG.info("step=job-end job={} revision={}", job, r.revision());
+                            noticeOwner(job);
+                        })
                 .mapEmpty();
     }
+
+    /** Tells the job's owner to look for changes of its jobs now. */
+    private void noticeOwner(String job) {
+        JobCodec.Owner owner = mIndex.owner(job);
+        PeerTable.Peer peer = owner == null ? null : mPeers.find(owner.host());
+        if (peer == null) {
+            mCatchUp.run();
+            return;
+        }
+        mClient.call(peer.address(), PeerRequest.jobNotice(new JobNotice(job)), OWNER_MARGIN_MS)
+                .onFailure(
+                        e ->
+                                LOG.info(
+                                        "step=job-end job={} owner={} outcome=not-noticed cause={}",
+                                        job,
+                                        peer.name(),
+                                        e.getMessage()));
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -180,7 +180,8 @@
     private boolean isBehind(HostReport report) {
         List<Long> theirs = report.getWatchedRevisions();
         for (int i = 0; i < mMirrors.size() && i < theirs.size(); i++) {
-            if (theirs.get(i) > mMirrors.get(i).contentRevision()) {
+            StoreMirror mirror = mMirrors.get(i);
+            if (theirs.get(i) > mirror.contentRevision() && !mirror.isHeldBack()) {
                 return true;
             }
         }
@@ -193,7 +194,7 @@
         List<Long> theirs = report.getWatchedRevisions();
         for (int i = 0; i < mMirrors.size() && i < theirs.size(); i++) {
             StoreMirror mirror = mMirrors.get(i);
-            if (theirs.get(i) > mirror.contentRevision()) {
+            if (theirs.get(i) > mirror.contentRevision() && !mirror.isHeldBack()) {
                 LOG.info(
                         "step=store-watch prefix={} peer={} peer_revision={} revision={}"
                                 + " outcome=missed",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.sesamepin.core.lifecycle.Closer;
 import org.sesamepin.core.membership.Rendezvous;
 import org.sesamepin.core.target.Placement;
@@ -34,6 +35,16 @@
  */
 public final class ServingNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ServingNode.class);
+
+    /** Watches of all hosts for jobs and hosts; what is urgent comes by a peer's notice. */
+    private static final long CONTROL_WATCHES_PER_S = 20;
+
+    private static final long MAX_CONTROL_INTERVAL_MS = 1_500;
+
+    /** Watches of all hosts for targets, which have to leave in time. */
+    private static final long TARGET_WATCHES_PER_S = 250;
+
+    private static final long MAX_TARGET_INTERVAL_MS = 250;
     private static final long BALANCER_LAG_MS = 2_600;
     private static final long STOP_MARGIN_MS = 900;
     private static final long STOP_CHECK_MS = 50;
@@ -90,8 +101,13 @@
         mConfigMirror =
                 mirror(
                         protocol.configPrefix(),
-                        new MirrorFanOut(List.of(configs, operatorListener)));
-        mTargetMirror = mirror(protocol.targetPrefix(), targets);
+                        new MirrorFanOut(List.of(configs, operatorListener)),
+                        () -> 0);
+        mTargetMirror =
+                mirror(
+                        protocol.targetPrefix(),
+                        targets,
+                        () -> intervalMs(TARGET_WATCHES_PER_S, MAX_TARGET_INTERVAL_MS));
         mLease =
                 mCloser.add(
                         new HostLease(
@@ -109,11 +125,21 @@
         mJobOwner =
                 mCloser.add(
                         new JobOwner(mContext, storage, index, mLease, settings.jobRetentionMs()));
-        mJobDesk = new JobDesk(mContext, storage, index, mLease, mJobOwner, mPeers, mPeerClient);
         mControlMirror =
                 mirror(
                         ServingKeys.CONTROL,
-                        new MirrorFanOut(List.of(new PeerMirror(mPeers), index)));
+                        new MirrorFanOut(List.of(new PeerMirror(mPeers), index)),
+                        () -> intervalMs(CONTROL_WATCHES_PER_S, MAX_CONTROL_INTERVAL_MS));
+        mJobDesk =
+                new JobDesk(
+                        mContext,
+                        storage,
+                        index,
+                        mLease,
+                        mJobOwner,
+                        mPeers,
+                        mPeerClient,
+                        mControlMirror::hurry);
         mReports =
                 mCloser.add(
                         new ReportExchange(
@@ -180,8 +206,16 @@
                 mMetrics);
     }
 
-    private StoreMirror mirror(String prefix, StoreMirror.Listener listener) {
-        return mCloser.add(new StoreMirror(mVertx, mStore, prefix, listener));
+    private StoreMirror mirror(
+            String prefix, StoreMirror.Listener listener, LongSupplier intervalMs) {
+        WatchPace pace = new WatchPace(mTicker, intervalMs);
+        return mCloser.add(new StoreMirror(mVertx, mStore, prefix, listener, pace));
+    }
+
+    /** Returns how often this host may watch, if the whole fleet may {@code perSecond} times. */
+    private long intervalMs(long perSecond, long maxMs) {
+        int hosts = 1 + mPeers.registered().size();
+        return Math.min(maxMs, TimeUnit.SECONDS.toMillis(hosts) / perSecond);
     }
 
     /** Returns what requests use. */
@@ -209,6 +243,12 @@
                 PeerRequest._Fields.REPORT,
                 r -> Future.succeededFuture(mReports.answer(r.getReport())));
         server.on(PeerRequest._Fields.LOAN, r -> Future.succeededFuture(mRates.lend(r.getLoan())));
+        server.on(
+                PeerRequest._Fields.JOB_NOTICE,
+                r -> {
+                    LOG.info("step=job job={} outcome=noticed", r.getJobNotice().getJobId());
+                    return done(mControlMirror::hurry);
+                });
         server.on(PeerRequest._Fields.JOB_READ, r -> mJobDesk.answer(r.getJobRead()));
         server.on(PeerRequest._Fields.STORE_RELAY, r -> mDetour.relay(r.getStoreRelay()));
         server.on(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -27,6 +27,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(StoreMirror.class);
     private static final long UNLISTED = -1;
     private static final long WATCH_MS = 20_000;
+    private static final long NO_TIMER = -1;
     private static final long MIN_BACKOFF_MS = 60;
     private static final long MAX_BACKOFF_MS = 700;
 
@@ -34,18 +35,22 @@
     private final WatchableStore mStore;
     private final String mPrefix;
     private final Listener mListener;
+    private final WatchPace mPace;
     private long mRevision = UNLISTED;
     private long mContentRevision = UNLISTED;
     private long mRound;
     private int mFailures;
+    private long mPauseTimer = NO_TIMER;
     private boolean mClosed;
 
     /** Creates a mirror of everything below {@code prefix}. */
-    public StoreMirror(Vertx vertx, WatchableStore store, String prefix, Listener listener) {
+    public StoreMirror(
+            Vertx vertx, WatchableStore store, String prefix, Listener listener, WatchPace pace) {
         mVertx = vertx;
         mStore = store;
         mPrefix = prefix;
         mListener = listener;
+        mPace = pace;
     }
 
     /** Starts following. */
@@ -57,9 +62,25 @@
     public void refresh() {
         mRevision = UNLISTED;
         mRound++;
+        mVertx.cancelTimer(mPauseTimer);
+        mPauseTimer = NO_TIMER;
         next(mRound);
     }
 
+    /** Takes the next changes now, if they are held back. */
+    public void hurry() {
+        if (isHeldBack()) {
+            mVertx.cancelTimer(mPauseTimer);
+            mPauseTimer = NO_TIMER;
+            next(mRound);
+        }
+    }
+
+    /** Tells whether changes may be there that are not taken yet. */
+    public boolean isHeldBack() {
+        return mPauseTimer != NO_TIMER;
+    }
+
     public String prefix() {
         return mPrefix;
     }
@@ -110,7 +131,18 @@
             }
             mListener.changed(changes, recovered());
         }
-        next(round);
+        long pauseMs = mPace.nextPauseMs();
+        if (pauseMs <= 0) {
+            next(round);
+            return;
+        }
+        mPauseTimer =
+                mVertx.setTimer(
+                        pauseMs,
+                        t -> {
+                            mPauseTimer = NO_TIMER;
+                            next(round);
+                        });
     }
 
     private boolean recovered() {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobDeskTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobDeskTest.java
@@ -28,6 +28,7 @@
 import org.sesamepin.node.serving.ServingFixture;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.serving.StoreMirror;
+import org.sesamepin.node.serving.WatchPace;
 
 /** Acceptance of jobs through faults of the store, and by several hosts at once. */
 class JobDeskTest {
@@ -35,6 +36,7 @@
 
     private final Vertx mVertx = Vertx.vertx();
     private final Context mLoop = mVertx.getOrCreateContext();
+    private volatile long mWatchIntervalMs;
     private final MemoryStore mStore = new MemoryStore();
     private final List<AutoCloseable> mOpen = new ArrayList<>();
 
@@ -75,7 +77,12 @@
                     JobOwner owner =
                             new JobOwner(node.context(), storage, index, lease, LIMIT * 1_000);
                     StoreMirror mirror =
-                            new StoreMirror(mVertx, mStore, ServingKeys.CONTROL, index);
+                            new StoreMirror(
+                                    mVertx,
+                                    mStore,
+                                    ServingKeys.CONTROL,
+                                    index,
+                                    new WatchPace(Ticker.SYSTEM, () -> mWatchIntervalMs));
                     lease.start();
                     mirror.start();
                     mOpen.addAll(List.of(mirror, lease, node));
@@ -87,7 +94,8 @@
                                     lease,
                                     owner,
                                     node.peers(),
-                                    node.peerClient()));
+                                    node.peerClient(),
+                                    mirror::hurry));
                 });
     }
 
@@ -179,6 +187,19 @@
         assertEquals(Acceptance.ACCEPTED, accept(desk, "three", 40));
     }
 
+    /** In a large fleet a host hears of other hosts' jobs late, and has to ask when it matters. */
+    @Test
+    void hostsWhoseWatchesAreHeldBackAcceptNextToEachOther() throws Exception {
+        mWatchIntervalMs = TimeUnit.HOURS.toMillis(1);
+        JobDesk a = desk("a");
+        JobDesk b = desk("b");
+        for (int i = 0; i < LIMIT / 20; i++) {
+            assertEquals(Acceptance.ACCEPTED, accept(a, "a" + i, 10));
+            assertEquals(Acceptance.ACCEPTED, accept(b, "b" + i, 10));
+        }
+        assertEquals(Acceptance.OVER_LIMIT, accept(a, "more", 10));
+    }
+
     @Test
     void twoHostsThatAcceptAtOnceStayWithinTheLimitTogether() throws Exception {
         JobDesk a = desk("a");
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreListing;
 
@@ -17,8 +19,11 @@
     private final Vertx mVertx = Vertx.vertx();
     private final ScriptedStore mStore = new ScriptedStore();
     private final List<String> mHeard = new ArrayList<>();
+    private long mIntervalMs;
     private CountDownLatch mListed = new CountDownLatch(1);
-    private final StoreMirror mMirror = new StoreMirror(mVertx, mStore, "config/", new Recorder());
+    private final WatchPace mPace = new WatchPace(Ticker.SYSTEM, () -> mIntervalMs);
+    private final StoreMirror mMirror =
+            new StoreMirror(mVertx, mStore, "config/", new Recorder(), mPace);
 
     private final class Recorder implements StoreMirror.Listener {
         @Override
@@ -80,4 +85,22 @@
         assertEquals(List.of("config/now=1", "config/now=2"), mHeard);
         assertEquals(12L, mMirror.contentRevision());
     }
+
+    @Test
+    void flowOfChangesIsHeldBackUntilSomebodyIsInAHurry() {
+        mIntervalMs = TimeUnit.HOURS.toMillis(1);
+        mMirror.start();
+        int told = 0;
+        while (!mMirror.isHeldBack()) {
+            mStore.write("config/" + told, "1");
+            mStore.tell("config/" + told);
+            told++;
+        }
+        int watches = mStore.watchedFrom().size();
+        mStore.write("config/urgent", "1");
+        assertEquals(watches, mStore.watchedFrom().size());
+        mMirror.hurry();
+        assertEquals(watches + 1, mStore.watchedFrom().size());
+        assertFalse(mMirror.isHeldBack());
+    }
 }
