--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -108,16 +108,7 @@
                         protocol.targetPrefix(),
                         targets,
                         () -> intervalMs(TARGET_WATCHES_PER_S, MAX_TARGET_INTERVAL_MS));
-        mLease =
-                mCloser.add(
-                        new HostLease(
-                                vertx,
-                                mTicker,
-                                store,
-                                settings.host(),
-                                incarnation,
-                                NodeSettings.text(settings.peerAddress()),
-                                this::storeSilent));
+        mLease = newLease(store, incarnation);
         JobIndex index = new JobIndex();
         JobStorage storage = new JobStorage(store);
         mPlaces = newPlaces();
@@ -140,20 +131,37 @@
                         mPeers,
                         mPeerClient,
                         mControlMirror::hurry);
-        mReports =
-                mCloser.add(
-                        new ReportExchange(
-                                vertx,
-                                mTicker,
-                                mState,
-                                mPeers,
-                                mPeerClient,
-                                mLoads,
-                                mPlaces,
-                                mJobOwner,
-                                incarnation,
-                                store::isDirectlyReachable,
-                                List.of(mConfigMirror, mTargetMirror, mControlMirror)));
+        mReports = newReports(store, incarnation);
+    }
+
+    private HostLease newLease(WatchableStore store, long incarnation) {
+        HostLease lease =
+                new HostLease(
+                        mVertx,
+                        mTicker,
+                        store,
+                        mSettings.host(),
+                        incarnation,
+                        NodeSettings.text(mSettings.peerAddress()),
+                        this::storeSilent);
+        return mCloser.add(lease);
+    }
+
+    private ReportExchange newReports(WatchableStore store, long incarnation) {
+        ReportExchange reports =
+                new ReportExchange(
+                        mVertx,
+                        mTicker,
+                        mState,
+                        mPeers,
+                        mPeerClient,
+                        mLoads,
+                        mPlaces,
+                        mJobOwner,
+                        incarnation,
+                        store::isDirectlyReachable,
+                        List.of(mConfigMirror, mTargetMirror, mControlMirror));
+        return mCloser.add(reports);
     }
 
     private PlaceDesk newPlaces() {
