--- a/sesamepin-cli/src/test/java/org/sesamepin/cli/BoundedLogQueueTest.java
+++ b/sesamepin-cli/src/test/java/org/sesamepin/cli/BoundedLogQueueTest.java
@@ -6,6 +6,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.AppenderBase;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -41,6 +42,7 @@
     private final Logger mLogger = mContext.getLogger("test");
 
     BoundedLogQueueTest() {
+        mContext.setMDCAdapter(new LogbackMDCAdapter());
         mOutput.setContext(mContext);
         mOutput.start();
         mQueue.addAppender(mOutput);
