Bound the bytes that a target may send without end

A faulty target may send bytes that are no answer until its connection is closed. Ruled out: status lines, headers, trailers and chunk extensions without end (the HTTP decoder's limits close the connection), events without end (EventStreamParser's limit), bytes behind a complete response (the connection is closed), and no head at all (cancelled at the deadline).

ResponseBody is used by both front ends; the API's batch runner had the same fault.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -25,6 +25,7 @@
 import org.sesamepin.node.admin.NodeMetrics;
 import org.sesamepin.node.fleet.BundleManager;
 import org.sesamepin.node.fleet.FleetView;
+import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.generated.BatchItem;
 import org.sesamepin.node.peer.generated.HostState;
@@ -264,7 +265,7 @@
                                 protocol.isResponseTo(
                                                 requestId,
                                                 response.getHeader(TargetHeaders.REQUEST_ID))
-                                        ? response.body()
+                                        ? ResponseBody.read(response)
                                                 .map(
                                                         body ->
                                                                 new TargetResponse(
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/IdleTimeout.java
@@ -0,0 +1,71 @@
+package org.sesamepin.node.http;
+
+import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.time.Ticker;
+
+/**
+ * Runs an action once when no progress was recorded for a time. Confined to the event loop.
+ *
+ * <p>A host that is short of processor time may need long for a large response that arrives
+ * steadily, so progress rather than the total time decides.
+ */
+public final class IdleTimeout {
+    private static final long NO_TIMER = -1;
+
+    private final Vertx mVertx;
+    private final Ticker mTicker;
+    private final long mTimeoutNanos;
+    private final Runnable mOnIdle;
+    private long mLastProgressAt;
+    private long mTimer = NO_TIMER;
+    private boolean mCancelled;
+
+    /**
+     * Creates a timeout that is not started.
+     *
+     * @param timeoutMs longest time without progress, milliseconds; 0 for no limit
+     * @param onIdle runs when that time has passed, unless the timeout was cancelled
+     */
+    public IdleTimeout(Vertx vertx, Ticker ticker, long timeoutMs, Runnable onIdle) {
+        mVertx = vertx;
+        mTicker = ticker;
+        mTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        mOnIdle = onIdle;
+        mLastProgressAt = ticker.nanoTime();
+    }
+
+    /** Starts to check; the time counts from the last progress, or from the creation. */
+    public void start() {
+        if (mTimeoutNanos <= 0 || mCancelled) {
+            return;
+        }
+        long remainingNanos = mTimeoutNanos - (mTicker.nanoTime() - mLastProgressAt);
+        if (remainingNanos <= 0) {
+            mCancelled = true;
+            mOnIdle.run();
+            return;
+        }
+        long remainingMs = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        mTimer = mVertx.setTimer(remainingMs, t -> start());
+    }
+
+    /** Records progress, which starts the time anew. */
+    public void recordProgress() {
+        mLastProgressAt = mTicker.nanoTime();
+    }
+
+    /** Returns the time of the last progress, a reading of the monotonic clock in nanoseconds. */
+    public long lastProgressAt() {
+        return mLastProgressAt;
+    }
+
+    /** Cancels the timeout for good. */
+    public void cancel() {
+        mCancelled = true;
+        if (mTimer != NO_TIMER) {
+            mVertx.cancelTimer(mTimer);
+            mTimer = NO_TIMER;
+        }
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
@@ -0,0 +1,71 @@
+package org.sesamepin.node.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+
+/**
+ * Reads or discards the body of a target's response within limits. A faulty target may send bytes
+ * without end until its connection is closed.
+ */
+public final class ResponseBody {
+    /** Maximum size of a response body that is kept in memory, bytes. */
+    public static final int MAX_BYTES = 16 << 20;
+
+    /** Body bytes that are discarded to keep a connection usable; beyond that it is closed. */
+    private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
+    private static final long DISCARD_TIMEOUT_MS = 1_000;
+
+    private ResponseBody() {}
+
+    /**
+     * Reads a whole body into memory.
+     *
+     * @return the body; fails when it is interrupted or has more than {@link #MAX_BYTES}, and then
+     *     the connection is closed
+     */
+    public static Future<Buffer> read(HttpClientResponse response) {
+        Promise<Buffer> promise = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.handler(
+                part -> {
+                    if (body.length() + part.length() > MAX_BYTES) {
+                        close(response);
+                        promise.tryFail("the response body exceeds " + MAX_BYTES + " bytes");
+                        return;
+                    }
+                    body.appendBuffer(part);
+                });
+        response.exceptionHandler(promise::tryFail);
+        response.endHandler(v -> promise.tryComplete(body));
+        return promise.future();
+    }
+
+    /**
+     * Discards a body, so that the connection can serve further requests. Closes the connection
+     * when the body is large or does not end soon.
+     */
+    public static void discard(Vertx vertx, HttpClientResponse response) {
+        long timer = vertx.setTimer(DISCARD_TIMEOUT_MS, t -> close(response));
+        int[] discardedBytes = new int[1];
+        response.handler(
+                part -> {
+                    discardedBytes[0] += part.length();
+                    if (discardedBytes[0] > MAX_DISCARDED_BYTES) {
+                        vertx.cancelTimer(timer);
+                        close(response);
+                    }
+                });
+        response.exceptionHandler(e -> vertx.cancelTimer(timer));
+        response.endHandler(v -> vertx.cancelTimer(timer));
+        response.resume();
+    }
+
+    private static void close(HttpClientResponse response) {
+        response.handler(null);
+        response.request().reset();
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -19,6 +19,7 @@
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.slot.SlotLease;
 import org.sesamepin.node.spi.TargetProtocol;
 import org.sesamepin.node.target.TargetClient;
@@ -31,7 +32,6 @@
  * response that belongs to another request is discarded together with its connection.
  */
 final class CompletionRequest extends OnlineRequestBase {
-    private static final int MAX_RESPONSE_BYTES = 16 << 20;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int CHARS_PER_TOKEN = 4;
     private static final int DEFAULT_MAX_TOKENS = 256;
@@ -209,7 +209,7 @@
                 part -> {
                     mLastProgressNanos = System.nanoTime();
                     body.appendBuffer(part);
-                    if (body.length() > MAX_RESPONSE_BYTES) {
+                    if (body.length() > ResponseBody.MAX_BYTES) {
                         onAttemptFailed(
                                 attempt,
                                 lease,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -16,6 +16,7 @@
 import org.sesamepin.core.error.Step;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.slot.SlotLease;
 import org.sesamepin.node.spi.TargetProtocol;
 import org.sesamepin.node.target.TargetClient;
@@ -29,7 +30,6 @@
  */
 final class ServiceRequest extends OnlineRequestBase {
     private static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
-    private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
     private final Route mRoute;
     private final IntentLog mIntentLog;
@@ -166,13 +166,7 @@
         if (!protocol.isResponseTo(mRequestId, response.getHeader(TargetHeaders.REQUEST_ID))) {
             return Future.failedFuture("the response belongs to another request");
         }
-        return response.body()
-                .compose(
-                        body ->
-                                body.length() > MAX_RESPONSE_BYTES
-                                        ? Future.failedFuture("the response is too large")
-                                        : Future.succeededFuture(
-                                                new WholeResponse(response, body)));
+        return ResponseBody.read(response).map(body -> new WholeResponse(response, body));
     }
 
     private void onResponse(WholeResponse wholeResponse) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -6,12 +6,13 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetLoad;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.http.EventStreamParser;
+import org.sesamepin.node.http.IdleTimeout;
+import org.sesamepin.node.http.ResponseBody;
 
 /**
  * One attempt to run a request at one target. Notifies its listener of exactly one end: not
@@ -88,8 +89,7 @@
     private final EventStreamParser mParser = new EventStreamParser(this::onParsedEvent);
     private @Nullable HttpClientRequest mRequest;
     private @Nullable HttpClientResponse mResponse;
-    private long mIdleTimer = -1;
-    private long mLastByteAt;
+    private final IdleTimeout mIdleTimeout;
     private long mLastEventId;
     private final EventIntervalMeter mEventIntervals = new EventIntervalMeter();
     private boolean mSent;
@@ -105,6 +105,9 @@
         mListener = listener;
         String resumeAfter = plan.resumeAfter();
         mLastEventId = resumeAfter == null ? 0 : Math.max(0, EventIds.parse(resumeAfter));
+        mIdleTimeout =
+                new IdleTimeout(
+                        context.vertx(), context.ticker(), plan.idleTimeoutMs(), this::onIdle);
     }
 
     public TargetInstance target() {
@@ -114,7 +117,7 @@
     /** Connects to the target and sends the request. */
     public void start() {
         mLoad.recordStart(mPlan.batch());
-        mLastByteAt = ticker().nanoTime();
+        mIdleTimeout.recordProgress();
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(mPlan.head().method())
@@ -151,7 +154,7 @@
         if (mEnded) {
             return;
         }
-        checkIdle();
+        mIdleTimeout.start();
         request.exceptionHandler(e -> endInterrupted("connection failed: " + e.getMessage()));
         request.response()
                 .onSuccess(this::onResponseHead)
@@ -159,17 +162,8 @@
         request.end(mPlan.body());
     }
 
-    private void checkIdle() {
-        if (mPlan.idleTimeoutMs() <= 0 || mEnded) {
-            return;
-        }
-        long idleMs = TimeUnit.NANOSECONDS.toMillis(ticker().nanoTime() - mLastByteAt);
-        long remainingMs = mPlan.idleTimeoutMs() - idleMs;
-        if (remainingMs <= 0) {
-            endInterrupted("no data received for " + idleMs + " ms");
-            return;
-        }
-        mIdleTimer = vertx().setTimer(remainingMs, t -> checkIdle());
+    private void onIdle() {
+        endInterrupted("no data received for " + mPlan.idleTimeoutMs() + " ms");
     }
 
     private void onResponseHead(HttpClientResponse response) {
@@ -177,7 +171,7 @@
             return;
         }
         mResponse = response;
-        mLastByteAt = ticker().nanoTime();
+        mIdleTimeout.recordProgress();
         response.exceptionHandler(
                 e -> endInterrupted("response was interrupted: " + e.getMessage()));
         ResponseHead head = mContext.protocol().readResponseHead(response);
@@ -202,7 +196,7 @@
         if (head.streamed() && head.isSuccess()) {
             readStream(response, head);
         } else {
-            response.body()
+            ResponseBody.read(response)
                     .onSuccess(body -> onBody(head, body))
                     .onFailure(e -> endInterrupted("cut: " + e));
         }
@@ -218,7 +212,7 @@
         if (mEnded) {
             return;
         }
-        mLastByteAt = ticker().nanoTime();
+        mIdleTimeout.recordProgress();
         if (!mParser.accept(chunk)) {
             endInterrupted("event exceeds the size limit");
         }
@@ -235,7 +229,7 @@
             return;
         }
         mLastEventId = id;
-        mEventIntervals.recordEvent(mLastByteAt);
+        mEventIntervals.recordEvent(mIdleTimeout.lastProgressAt());
         mListener.onEvent(event, id);
     }
 
@@ -270,7 +264,7 @@
         boolean wasSent = mSent;
         HttpClientResponse response = mResponse;
         if (response != null) {
-            response.resume();
+            ResponseBody.discard(vertx(), response);
         }
         end();
         if (targetFailing) {
@@ -326,9 +320,7 @@
         mEnded = true;
         mEventIntervals.meanMs().ifPresent(mLoad::recordEventInterval);
         mContext.loads().recordEnd(mTarget, mPlan.batch());
-        if (mIdleTimer >= 0) {
-            vertx().cancelTimer(mIdleTimer);
-        }
+        mIdleTimeout.cancel();
     }
 
     private Vertx vertx() {
