Start items in time to end in time, and group their results

The order now uses the slack: the time until a job is due, less what the item still needs to run, learned from completed items with their suspensions. The item with the most slack is suspended first.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/DueOrder.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/DueOrder.java
@@ -14,8 +14,9 @@
     /**
      * Compares two units of work.
      *
-     * @param dueInMs time until the first is due, milliseconds; negative when it is overdue
-     * @param otherDueInMs time until the second is due, milliseconds; negative when it is overdue
+     * @param dueInMs time until the first is due, less the time that it takes to run, milliseconds;
+     *     negative when it is overdue
+     * @param otherDueInMs the same for the second
      * @return negative when the first comes before the second, 0 when they are equal, positive
      *     otherwise
      */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -32,6 +32,8 @@
         private long mRetryAt;
         private boolean mBackingOff;
         private int mFailures;
+        private boolean mStarted;
+        private long mFirstStartedAt;
 
         Item(JobItem item) {
             mItem = item;
@@ -116,9 +118,26 @@
         return mItems.get(index).mLastEventId;
     }
 
-    /** Records that an item is running. */
-    public void recordStart(int index) {
-        mItems.get(index).mState = State.RUNNING;
+    /**
+     * Records that an item is running.
+     *
+     * @param now reading of the monotonic clock, nanoseconds
+     */
+    public void recordStart(int index, long now) {
+        Item item = mItems.get(index);
+        item.mState = State.RUNNING;
+        if (!item.mStarted) {
+            item.mStarted = true;
+            item.mFirstStartedAt = now;
+        }
+    }
+
+    /**
+     * Returns when the first run of an item here began that its output comes from, a reading of the
+     * monotonic clock in nanoseconds.
+     */
+    public long firstStartedAt(int index) {
+        return mItems.get(index).mFirstStartedAt;
     }
 
     /** Appends the data of the event {@code id} to the output of an item. */
@@ -160,6 +179,7 @@
         item.mFailures++;
         item.mOutput.setLength(0);
         item.mLastEventId = 0;
+        item.mStarted = false;
         if (item.mFailures >= maxFailures) {
             failPermanently(index);
         } else {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -36,13 +36,13 @@
     @Test
     void resumesSuspendedItemAfterItsLastEvent() {
         JobProgress progress = progress(1);
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.appendEvent(0, 1, "a");
         progress.appendEvent(0, 2, "b");
         progress.recordSuspension(0);
         assertEquals(0, progress.nextItem(0));
         assertEquals(2, progress.lastEventId(0));
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.appendEvent(0, 3, "c");
         progress.recordCompletion(0);
         assertEquals(
@@ -52,18 +52,18 @@
     @Test
     void runsSuspendedItemBeforeOneThatHasNotStarted() {
         JobProgress progress = progress(3);
-        progress.recordStart(1);
+        progress.recordStart(1, 0);
         progress.appendEvent(1, 1, "a");
         progress.recordSuspension(1);
         assertEquals(1, progress.nextItem(0));
-        progress.recordStart(1);
+        progress.recordStart(1, 0);
         assertEquals(0, progress.nextItem(0));
     }
 
     @Test
     void interruptedItemBacksOffBeforeItRunsAgain() {
         JobProgress progress = progress(1);
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.recordInterruption(0, 0);
         assertEquals(-1, progress.nextItem(1));
         assertEquals(0, progress.nextItem(LATER));
@@ -72,12 +72,12 @@
     @Test
     void restartsFailedItemAndFailsItPermanentlyAfterMaxFailures() {
         JobProgress progress = progress(1);
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.appendEvent(0, 1, "a");
         progress.recordFailure(0, 2, 0);
         assertEquals(0, progress.lastEventId(0));
         assertEquals(Map.of("i0", 1), progress.failures());
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.recordFailure(0, 2, LATER);
         assertEquals(List.of(new JobResult("i0", false, "")), progress.unpublishedResults(100));
     }
@@ -85,7 +85,7 @@
     @Test
     void keepsFailureCountAfterChangeOfOwner() {
         JobProgress progress = new JobProgress(items(1), List.of(), Map.of("i0", 2));
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         progress.recordFailure(0, 3, 0);
         assertTrue(progress.allFinal());
     }
@@ -93,7 +93,7 @@
     @Test
     void returnsBodyUntilResultIsPublished() {
         JobProgress progress = progress(2);
-        progress.recordStart(1);
+        progress.recordStart(1, 0);
         progress.recordCompletion(1);
         assertArrayEquals(new byte[] {1}, progress.unpublishedBody("i1"));
         progress.recordPublished(1);
@@ -108,7 +108,7 @@
         JobProgress progress = new JobProgress(items(2), List.of(result), Map.of());
         assertEquals(10, progress.openTokens());
         assertEquals(0, progress.nextItem(0));
-        progress.recordStart(0);
+        progress.recordStart(0, 0);
         assertEquals(-1, progress.nextItem(0));
         assertFalse(progress.isComplete());
     }
@@ -128,7 +128,7 @@
                 now += LATER;
                 int index = progress.nextItem(now);
                 if (index >= 0) {
-                    progress.recordStart(index);
+                    progress.recordStart(index, 0);
                     endRun(progress, index, random, now);
                 }
                 int unpublished = progress.unpublishedResults(random.nextInt(4)).size();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/CoordinatorLoadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/CoordinatorLoadTest.java
@@ -16,8 +16,20 @@
     private static final long LATENCY_MS = 300;
     private static final long DUE_MS = 18_000;
 
+    private static final long JOB_INTERVAL_MS = 1_400;
+
+    /** With this interval, the items need more than the slots that online requests leave. */
+    private static final long OVERLOAD_JOB_INTERVAL_MS = 450;
+
     private static LoadModel.Outcome simulate(boolean speedsKnown) {
-        return new LoadModel(SEED, speedsKnown).run();
+        LoadModel.Settings settings = new LoadModel.Settings(speedsKnown, true, JOB_INTERVAL_MS);
+        return new LoadModel(SEED, settings).run();
+    }
+
+    private static LoadModel.Outcome simulateOverload(boolean runTimesKnown) {
+        LoadModel.Settings settings =
+                new LoadModel.Settings(true, runTimesKnown, OVERLOAD_JOB_INTERVAL_MS);
+        return new LoadModel(SEED, settings).run();
     }
 
     @Test
@@ -41,4 +53,21 @@
                 "mean item time with known speeds: " + known + "; with unknown speeds: " + unknown);
         assertTrue(known.onTimeShare(LATENCY_MS) >= unknown.onTimeShare(LATENCY_MS));
     }
+
+    /** Without run times, an overloaded fleet ends most items slightly after they are due. */
+    @Test
+    void completesMoreItemsInTimeUnderOverloadWhenRunTimesAreKnown() {
+        LoadModel.Outcome known = simulateOverload(true);
+        LoadModel.Outcome unknown = simulateOverload(false);
+        assertTrue(
+                known.itemsWithin(DUE_MS) > unknown.itemsWithin(DUE_MS),
+                "in time with known run times: "
+                        + known.itemsWithin(DUE_MS)
+                        + "; with unknown run times: "
+                        + unknown.itemsWithin(DUE_MS));
+        assertTrue(
+                known.itemsWithin(DUE_MS) > known.items() / 2,
+                "in time of " + known.items() + ": " + known.itemsWithin(DUE_MS));
+        assertTrue(known.onTimeShare(LATENCY_MS) >= 0.99, "with known run times: " + known);
+    }
 }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.job.DueOrder;
+import org.sesamepin.core.job.ItemRunTimes;
 
 /**
  * Simulation on a virtual clock: targets of three speeds that run a few streams concurrently and
@@ -33,11 +35,21 @@
     private static final int EVENTS_PER_REQUEST = 27;
     private static final int EVENTS_PER_ITEM = 188;
     private static final int ITEMS_PER_JOB = 10;
-    private static final long JOB_INTERVAL_MS = 1_400;
+    private static final String ROUTE = "batch";
+    private static final long DUE_MS = 18_000;
     private static final long PREFILL_MS = 25;
     private static final long TIMEOUT_MS = 5_000;
     private static final long REPORT_INTERVAL_MS = 25;
 
+    /**
+     * What the model varies.
+     *
+     * @param speedsKnown whether the host reports the speeds of the targets to the coordinator
+     * @param runTimesKnown whether the host learns the run times of items
+     * @param jobIntervalMs time between two submissions of a batch job, milliseconds
+     */
+    record Settings(boolean speedsKnown, boolean runTimesKnown, long jobIntervalMs) {}
+
     /** Result of a simulation: times to the first event and to the end of an item, milliseconds. */
     record Outcome(List<Long> firstEventMs, int rejected, List<Long> itemMs, int items) {
         double onTimeShare(long latencyMs) {
@@ -75,6 +87,7 @@
         private final boolean mIsBatch;
         private final long mCreatedAtMs;
         private int mRemainingEvents;
+        private long mFirstStartedAtMs = -1;
         private long mStartedAtMs;
         private int mRun;
 
@@ -106,11 +119,12 @@
     private record Event(long timeMs, long sequence, Runnable action) {}
 
     private final Random mRandom;
-    private final boolean mSpeedsKnown;
+    private final Settings mSettings;
+    private final ItemRunTimes mRunTimes = new ItemRunTimes();
     private final ServiceCoordinator mCoordinator = new ServiceCoordinator();
     private final List<Target> mTargets = new ArrayList<>();
     private final Map<String, Work> mWaitingRequests = new HashMap<>();
-    private final Deque<Work> mWaitingItems = new ArrayDeque<>();
+    private final List<Work> mWaitingItems = new ArrayList<>();
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::timeMs).thenComparing(Event::sequence));
@@ -121,14 +135,10 @@
     private long mNowMs;
     private long mNextSequence;
 
-    /**
-     * Creates a model.
-     *
-     * @param speedsKnown whether the host reports the speeds of the targets to the coordinator
-     */
-    LoadModel(long seed, boolean speedsKnown) {
+    /** Creates a model. */
+    LoadModel(long seed, Settings settings) {
         mRandom = new Random(seed);
-        mSpeedsKnown = speedsKnown;
+        mSettings = settings;
         for (int i = 0; i < EVENT_INTERVAL_MS.length; i++) {
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1_000 + i);
             TargetInstance instance =
@@ -195,8 +205,8 @@
     }
 
     private void submitJob() {
-        if (mNowMs + JOB_INTERVAL_MS < ARRIVALS_END_MS) {
-            schedule(mNowMs + JOB_INTERVAL_MS, this::submitJob);
+        if (mNowMs + mSettings.jobIntervalMs() < ARRIVALS_END_MS) {
+            schedule(mNowMs + mSettings.jobIntervalMs(), this::submitJob);
         }
         for (int i = 0; i < ITEMS_PER_JOB; i++) {
             mWaitingItems.add(new Work("i" + mItemCount++, true, mNowMs, EVENTS_PER_ITEM));
@@ -222,7 +232,7 @@
             String incarnation = target.mInstance.incarnation();
             online.put(incarnation, target.count(false));
             batch.put(incarnation, target.count(true));
-            if (mSpeedsKnown) {
+            if (mSettings.speedsKnown()) {
                 eventIntervalsMs.put(incarnation, target.mEventIntervalMs);
             }
         }
@@ -234,7 +244,7 @@
                 mCoordinator.placeWaiting(instances(), nanos(mNowMs))) {
             Work work =
                     grant.requestId().isEmpty()
-                            ? mWaitingItems.poll()
+                            ? takeNextItem()
                             : mWaitingRequests.remove(grant.requestId());
             if (work != null) {
                 sendToTarget(grant, work);
@@ -242,6 +252,21 @@
         }
     }
 
+    private @Nullable Work takeNextItem() {
+        Work next =
+                mWaitingItems.stream()
+                        .min((item, other) -> DueOrder.compare(slackMs(item), slackMs(other)))
+                        .orElse(null);
+        mWaitingItems.remove(next);
+        return next;
+    }
+
+    private long slackMs(Work item) {
+        long lastEventId = EVENTS_PER_ITEM - item.mRemainingEvents;
+        long dueInMs = item.mCreatedAtMs + DUE_MS - mNowMs;
+        return dueInMs - mRunTimes.remainingMs(ROUTE, lastEventId);
+    }
+
     private void sendToTarget(ServiceCoordinator.Grant grant, Work work) {
         Target target = mTargets.get(instances().indexOf(grant.target()));
         if (!grant.suspendingHost().isEmpty()) {
@@ -252,7 +277,11 @@
     }
 
     private void suspendItem(Target target) {
-        Work item = target.mRunning.stream().filter(work -> work.mIsBatch).findFirst().orElse(null);
+        Work item =
+                target.mRunning.stream()
+                        .filter(work -> work.mIsBatch)
+                        .max((work, other) -> DueOrder.compare(slackMs(work), slackMs(other)))
+                        .orElse(null);
         if (item == null) {
             return;
         }
@@ -260,7 +289,7 @@
         item.mRun++;
         long streamedMs = Math.max(0, mNowMs - item.mStartedAtMs - PREFILL_MS);
         item.mRemainingEvents -= (int) (streamedMs / target.mEventIntervalMs);
-        mWaitingItems.addFirst(item);
+        mWaitingItems.add(item);
     }
 
     private void startNext(Target target) {
@@ -268,6 +297,7 @@
             @Nullable Work work = target.mQueue.poll();
             target.mRunning.add(work);
             work.mStartedAtMs = mNowMs;
+            work.mFirstStartedAtMs = work.mFirstStartedAtMs < 0 ? mNowMs : work.mFirstStartedAtMs;
             int run = work.mRun;
             long endMs =
                     mNowMs
@@ -286,8 +316,15 @@
         }
         if (work.mIsBatch) {
             mItemMs.add(mNowMs - work.mCreatedAtMs);
+            recordRunTime(work);
         }
         startNext(target);
         report();
     }
+
+    private void recordRunTime(Work item) {
+        if (mSettings.runTimesKnown()) {
+            mRunTimes.recordCompletion(ROUTE, EVENTS_PER_ITEM, mNowMs - item.mFirstStartedAtMs);
+        }
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobProgress;
 import org.sesamepin.core.serving.ServingRoute;
@@ -30,6 +31,7 @@
     private final int mIndex;
     private final ServingRoute mRoute;
     private final TargetInstance mTarget;
+    private final ItemRunTimes mRunTimes;
     private final Runnable mOnEnd;
     private final TargetAttempt mAttempt;
 
@@ -40,12 +42,14 @@
             int index,
             ServingRoute route,
             TargetInstance target,
+            ItemRunTimes runTimes,
             Runnable onEnd) {
         mContext = context;
         mJob = job;
         mIndex = index;
         mRoute = route;
         mTarget = target;
+        mRunTimes = runTimes;
         mOnEnd = onEnd;
         JobItem item = job.progress().item(index);
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(item.headers());
@@ -80,8 +84,13 @@
         return mTarget;
     }
 
+    /** Returns the id of the last event received for the item; 0 when there is none. */
+    long lastEventId() {
+        return progress().lastEventId(mIndex);
+    }
+
     void start() {
-        progress().recordStart(mIndex);
+        progress().recordStart(mIndex, mContext.ticker().nanoTime());
         mJob.runs().put(mIndex, this);
         LOG.info(
                 "step=place request={} job={} route={} customer={} target={} resume_after={}"
@@ -146,6 +155,9 @@
 
     @Override
     public void onStreamEnded() {
+        long nanos = mContext.ticker().nanoTime() - progress().firstStartedAt(mIndex);
+        double runMs = (double) nanos / TimeUnit.MILLISECONDS.toNanos(1);
+        mRunTimes.recordCompletion(mRoute.name(), lastEventId(), runMs);
         progress().recordCompletion(mIndex);
         finish("done", "");
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Future;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.job.DueOrder;
+import org.sesamepin.core.job.ItemRunTimes;
+import org.sesamepin.core.job.PublishSchedule;
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetInstance;
@@ -27,7 +28,7 @@
 public final class JobRunner implements AutoCloseable, BatchWork {
     private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
     private static final long ADVANCE_INTERVAL_MS = 50;
-    private static final long PUBLISH_INTERVAL_MS = 1_000;
+    private static final long PUBLISH_CHECK_INTERVAL_MS = 250;
     private static final long CLAIM_INTERVAL_MS = 400;
 
     /** Time for which a job's route has to be missing before the job's items fail. */
@@ -38,12 +39,16 @@
     /** Slots of a target that batch items leave free for online requests that arrive meanwhile. */
     private static final int RESERVED_SLOTS = 1;
 
+    /** A job and the slack of its next item, milliseconds. */
+    private record JobSlack(OwnedJob job, long slackMs) {}
+
     private final ServingContext mContext;
     private final JobStorage mStorage;
     private final JobIndex mIndex;
     private final HostLease mLease;
     private final long mRetentionMs;
     private final OwnedJobs mOwnedJobs = new OwnedJobs();
+    private final ItemRunTimes mRunTimes = new ItemRunTimes();
     private final ResultPublisher mPublisher;
     private final JobClaimer mClaimer;
     private final List<Long> mTimers = new ArrayList<>();
@@ -79,7 +84,7 @@
         mOnItemsWaiting = onItemsWaiting;
         mIndex.addChangeListener(this::onJobChange);
         schedulePeriodic(ADVANCE_INTERVAL_MS, this::advanceJobs);
-        schedulePeriodic(PUBLISH_INTERVAL_MS, this::publishAll);
+        schedulePeriodic(PUBLISH_CHECK_INTERVAL_MS, this::publishDueResults);
         schedulePeriodic(CLAIM_INTERVAL_MS, mClaimer::claimOwnerless);
         schedulePeriodic(
                 CLEAN_INTERVAL_MS,
@@ -107,6 +112,7 @@
 
     /** Adds a job that this host has just accepted, or has loaded after a claim. */
     void add(OwnedJob job) {
+        job.setLastPublicationNanos(mContext.ticker().nanoTime());
         mOwnedJobs.add(job);
         advanceJobs();
         mOnItemsWaiting.run();
@@ -126,26 +132,53 @@
 
     @Override
     public boolean suspendOne(TargetInstance target) {
-        List<OwnedJob> jobs = jobsByDueTime();
-        Collections.reverse(jobs);
-        for (OwnedJob job : jobs) {
+        long nowMs = System.currentTimeMillis();
+        ItemRun last = null;
+        long lastSlackMs = 0;
+        for (OwnedJob job : mOwnedJobs.all()) {
             for (ItemRun run : job.runs().values()) {
-                if (run.target().equals(target)) {
-                    run.suspend();
-                    return true;
+                if (!run.target().equals(target)) {
+                    continue;
+                }
+                long slackMs = slackMs(job, run.lastEventId(), nowMs);
+                if (last == null || DueOrder.compare(slackMs, lastSlackMs) > 0) {
+                    last = run;
+                    lastSlackMs = slackMs;
                 }
             }
         }
-        return false;
+        if (last != null) {
+            last.suspend();
+        }
+        return last != null;
     }
 
-    private List<OwnedJob> jobsByDueTime() {
-        List<OwnedJob> jobs = new ArrayList<>(mOwnedJobs.all());
+    private List<OwnedJob> jobsBySlack() {
         long nowMs = System.currentTimeMillis();
-        jobs.sort((job, other) -> DueOrder.compare(dueInMs(job, nowMs), dueInMs(other, nowMs)));
-        return jobs;
+        List<JobSlack> jobs = new ArrayList<>();
+        mOwnedJobs.all().forEach(job -> jobs.add(new JobSlack(job, nextSlackMs(job, nowMs))));
+        jobs.sort((job, other) -> DueOrder.compare(job.slackMs(), other.slackMs()));
+        return jobs.stream().map(JobSlack::job).toList();
+    }
+
+    /** Returns the slack of the job's item that is to run next, milliseconds. */
+    private long nextSlackMs(OwnedJob job, long nowMs) {
+        int index = job.progress().nextItem(mContext.ticker().nanoTime());
+        return slackMs(job, index < 0 ? 0 : job.progress().lastEventId(index), nowMs);
     }
 
+    /**
+     * Returns the latest time, from now, at which an item of {@code job} can start and still end in
+     * time, milliseconds; negative when it can no longer end in time.
+     *
+     * @param lastEventId id of the last event received for the item; 0 when there is none
+     */
+    private long slackMs(OwnedJob job, long lastEventId, long nowMs) {
+        long remainingMs = mRunTimes.remainingMs(job.summary().route(), lastEventId);
+        return dueInMs(job, nowMs) - remainingMs;
+    }
+
+    /** Returns the time until the job is due, milliseconds; negative when it is overdue. */
     private long dueInMs(OwnedJob job, long nowMs) {
         ServingRoute route = mContext.state().config().routeByName(job.summary().route());
         long completionMs = route == null ? 0 : route.completionMs();
@@ -157,7 +190,7 @@
         if (mStopping) {
             return false;
         }
-        for (OwnedJob job : jobsByDueTime()) {
+        for (OwnedJob job : jobsBySlack()) {
             ServingRoute route = mContext.state().config().routeByName(job.summary().route());
             int index = job.progress().nextItem(mContext.ticker().nanoTime());
             if (route != null && index >= 0 && route.sendsTo(service)) {
@@ -169,7 +202,7 @@
     }
 
     private void startRun(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
-        new ItemRun(mContext, job, index, route, target, () -> onRunEnd(job)).start();
+        new ItemRun(mContext, job, index, route, target, mRunTimes, () -> onRunEnd(job)).start();
     }
 
     @Override
@@ -195,10 +228,10 @@
     public long firstDueInMs() {
         long nowMs = System.currentTimeMillis();
         long nowNanos = mContext.ticker().nanoTime();
-        return jobsByDueTime().stream()
+        return jobsBySlack().stream()
                 .filter(job -> job.progress().runnableItems(nowNanos) > 0)
                 .findFirst()
-                .map(job -> dueInMs(job, nowMs))
+                .map(job -> nextSlackMs(job, nowMs))
                 .orElse(0L);
     }
 
@@ -206,7 +239,7 @@
         if (mStopping || mOwnedJobs.isEmpty()) {
             return;
         }
-        for (OwnedJob job : jobsByDueTime()) {
+        for (OwnedJob job : jobsBySlack()) {
             ServingRoute route = mContext.state().config().routeByName(job.summary().route());
             if (route == null) {
                 failIfRouteRemoved(job);
@@ -272,8 +305,15 @@
         mPublisher.publish(job);
     }
 
-    private void publishAll() {
-        mOwnedJobs.all().forEach(mPublisher::publish);
+    private void publishDueResults() {
+        long nowMs = System.currentTimeMillis();
+        long nowNanos = mContext.ticker().nanoTime();
+        for (OwnedJob job : List.copyOf(mOwnedJobs.all())) {
+            long sinceLastMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - job.lastPublicationNanos());
+            if (PublishSchedule.isDue(dueInMs(job, nowMs), sinceLastMs)) {
+                mPublisher.publish(job);
+            }
+        }
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -21,6 +21,7 @@
     private boolean mRouteMissing;
     private long mRouteMissingSinceNanos;
     private @Nullable SegmentWrite mPendingWrite;
+    private long mLastPublicationNanos;
 
     /**
      * The write of a segment that was sent to the store.
@@ -104,6 +105,15 @@
         return mPendingWrite;
     }
 
+    /** Returns when results were last published, a reading of the monotonic clock. */
+    long lastPublicationNanos() {
+        return mLastPublicationNanos;
+    }
+
+    void setLastPublicationNanos(long nanos) {
+        mLastPublicationNanos = nanos;
+    }
+
     void setPendingWrite(@Nullable SegmentWrite pendingWrite) {
         mPendingWrite = pendingWrite;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
@@ -84,6 +84,7 @@
                         updated,
                         mustUpdateSummary(job, updated));
         job.setPendingWrite(write);
+        job.setLastPublicationNanos(mContext.ticker().nanoTime());
         return append(job, write);
     }
 
