Keep control within the means of small hosts of a large fleet

A connection now has to be silent for 0.6 s, a coordinator for 0.25 s; a refused connection counts at once. - Any host could be coordinator. Now those with the processor capacity of the most powerful ones. - Shares of 1/80 of a rate are less than a request, so nearly each request asked lender after lender. At most 12 hosts share a customer's rate, a loan covers the demand of 0.25 s, a request waits 0.3 s for loans at most, and a loan that comes late is kept. - Reports went to 12 peers four times a second; in fleets of more than 13 hosts to 4 peers twice a second and to the coordinators. Sums over all reports are made when they are read.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
@@ -29,7 +29,8 @@
         return best;
     }
 
-    private static long score(String key, String host) {
+    /** Returns the weight of {@code host} for {@code key}, an unsigned number. */
+    static long score(String key, String host) {
         return HASH.hashBytes((host + '\n' + key).getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.thrift.TException;
 import org.jspecify.annotations.Nullable;
@@ -23,12 +24,16 @@
 
 /**
  * Calls other nodes, over one multiplexed connection to each. Replies are matched to calls by id. A
- * call that times out closes its connection if no reply to any call arrived meanwhile, since a
- * connection can become permanently unresponsive while new ones work.
+ * connection on which calls time out and nothing arrives for a while is closed, since a connection
+ * can become permanently unresponsive while new ones work. One slow reply does not close it: a node
+ * that is short of processor time may stand still longer than the time-out of a call.
  */
 public final class PeerClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MS = 400;
 
+    /** Time without a reply to any call after which a connection counts as unresponsive. */
+    private static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
     private final Vertx mVertx;
     private final NetClient mClient;
     private final AtomicLong mCallIds = new AtomicLong();
@@ -37,11 +42,26 @@
     private static final class Connection {
         private final Map<Long, Promise<PeerReply>> mPendingCalls = new ConcurrentHashMap<>();
         private final Future<NetSocket> mSocket;
-        private final AtomicLong mReplyCount = new AtomicLong();
+        private final AtomicLong mSilentSince = new AtomicLong(System.nanoTime());
 
         Connection(Future<NetSocket> socket) {
             mSocket = socket;
         }
+
+        /** Records that a call is about to be sent; silence counts only while calls are pending. */
+        void recordCall() {
+            if (mPendingCalls.isEmpty()) {
+                mSilentSince.set(System.nanoTime());
+            }
+        }
+
+        void recordReply() {
+            mSilentSince.set(System.nanoTime());
+        }
+
+        boolean isUnresponsive() {
+            return System.nanoTime() - mSilentSince.get() >= MAX_SILENCE_NANOS;
+        }
     }
 
     /** Creates a client; it connects to a node on the first call. */
@@ -63,17 +83,17 @@
         Connection connection = mConnections.computeIfAbsent(address, this::connect);
         Promise<PeerReply> promise = Promise.promise();
         long id = mCallIds.incrementAndGet();
+        connection.recordCall();
         connection.mPendingCalls.put(id, promise);
-        long repliesBefore = connection.mReplyCount.get();
         long timer =
                 mVertx.setTimer(
                         timeoutMs,
                         t -> {
-                            connection.mPendingCalls.remove(id);
-                            if (promise.tryFail(
+                            boolean timedOut =
+                                    promise.tryFail(
                                             unknownOutcomeError(
-                                                    address, "no reply within the call timeout"))
-                                    && connection.mReplyCount.get() == repliesBefore) {
+                                                    address, "no reply within the call timeout"));
+                            if (timedOut && connection.isUnresponsive()) {
                                 closeConnection(address, connection);
                             }
                         });
@@ -114,7 +134,7 @@
     }
 
     private static void onReply(Connection connection, PeerFrame frame) {
-        connection.mReplyCount.incrementAndGet();
+        connection.recordReply();
         @Nullable Promise<PeerReply> promise = connection.mPendingCalls.remove(frame.getCallId());
         if (promise != null && frame.isSetReply()) {
             promise.tryComplete(frame.getReply());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -46,7 +46,7 @@
 
     /** Handles one call; an error of this host is sent as a problem response. */
     public void handle(HttpServerRequest request, CallHead head) {
-        long arrivedAt = mContext.ticker().nanoTime();
+        long arrivedAt = mContext.loopLag().earliestArrival();
         request.pause();
         ServingConfig config = mContext.state().config();
         BodyReader.read(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CustomerRateLimiter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CustomerRateLimiter.java
@@ -7,8 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.limit.DemandMeter;
 import org.sesamepin.core.limit.LendingTokenBucket;
 import org.sesamepin.core.serving.CustomerSpec;
 import org.sesamepin.core.time.Ticker;
@@ -27,28 +29,43 @@
  */
 public final class CustomerRateLimiter {
     private static final Logger LOG = LoggerFactory.getLogger(CustomerRateLimiter.class);
-    private static final long LOAN_TIMEOUT_MS = 120;
+
+    /** Time for a loan; one that arrives after the request was decided serves later requests. */
+    private static final long LOAN_TIMEOUT_MS = 600;
+
+    /** Longest time for which a request waits for the loans of the hosts that are asked at once. */
+    private static final long LOAN_WAIT_MS = 150;
+
+    /** Longest time for which a request waits for loans in all. */
+    private static final long MAX_LOAN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private static final long REJECTION_CACHE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
-    private static final int MAX_CONCURRENT_LENDERS = 3;
+    private static final int MAX_CONCURRENT_LENDERS = 4;
+
+    /** Demand for which a loan is to last, seconds. */
     private static final double LOAN_SECONDS = 0.25;
+
     private static final Admission FROM_SHARE = new Admission(true, 0, "own-share");
     private static final Admission FROM_LOAN = new Admission(true, 0, "lent");
     private static final Admission UNLIMITED = new Admission(true, 0, "unlimited");
 
     private static final class CustomerRate {
         private final LendingTokenBucket mBucket;
+        private final DemandMeter mDemand;
         private @Nullable Future<Double> mPendingLoan;
         private long mRejectUntil;
 
         CustomerRate(double burstShare, long now) {
             mBucket = new LendingTokenBucket(burstShare, now);
             mRejectUntil = now;
+            mDemand = new DemandMeter(now);
         }
     }
 
     private final Ticker mTicker;
     private final ServingState mState;
     private final PeerTable mPeers;
+    private final RateHolders mHolders;
     private final PeerClient mPeerClient;
     private final Map<String, CustomerRate> mRatesByCustomer = new HashMap<>();
 
@@ -58,6 +75,7 @@
         mTicker = ticker;
         mState = state;
         mPeers = peers;
+        mHolders = new RateHolders(peers);
         mPeerClient = peerClient;
     }
 
@@ -72,22 +90,43 @@
             return Future.succeededFuture(UNLIMITED);
         }
         CustomerRate customerRate = refill(customer);
+        customerRate.mDemand.count(1, mTicker.nanoTime());
         if (customerRate.mBucket.take()) {
             return Future.succeededFuture(FROM_SHARE);
         }
-        if (mTicker.nanoTime() - customerRate.mRejectUntil < 0 || mPeers.reachable().isEmpty()) {
+        boolean rejectedLately = mTicker.nanoTime() - customerRate.mRejectUntil < 0;
+        List<PeerTable.Peer> lenders = rejectedLately ? List.of() : lendersOf(customer);
+        if (lenders.isEmpty()) {
             return Future.succeededFuture(reject(customer, customerRate));
         }
-        List<PeerTable.Peer> lenders = new ArrayList<>(mPeers.reachable());
+        return borrowAndTake(customer, customerRate, lenders, mTicker.nanoTime());
+    }
+
+    /** Returns the reachable peers that have a share of the customer's rate, in random order. */
+    private List<PeerTable.Peer> lendersOf(CustomerSpec customer) {
+        List<PeerTable.Peer> lenders = new ArrayList<>();
+        for (String holder : mHolders.holdersOf(customer.name())) {
+            PeerTable.Peer peer = mPeers.find(holder);
+            if (peer != null) {
+                lenders.add(peer);
+            }
+        }
         Collections.shuffle(lenders);
-        return borrowAndTake(customer, customerRate, lenders);
+        return lenders;
     }
 
     /**
-     * Requests loans from a few hosts at a time until a token is available or no lender remains.
+     * Requests loans from a few hosts at a time until a token is available, no lender remains, or
+     * the request has waited long enough.
+     *
+     * @param startedAt when the first loans were requested, a reading of the monotonic clock in
+     *     nanoseconds
      */
     private Future<Admission> borrowAndTake(
-            CustomerSpec customer, CustomerRate customerRate, List<PeerTable.Peer> lenders) {
+            CustomerSpec customer,
+            CustomerRate customerRate,
+            List<PeerTable.Peer> lenders,
+            long startedAt) {
         int count = Math.min(MAX_CONCURRENT_LENDERS, lenders.size());
         List<PeerTable.Peer> current = lenders.subList(0, count);
         List<PeerTable.Peer> remaining = lenders.subList(count, lenders.size());
@@ -98,10 +137,11 @@
                             if (customerRate.mBucket.take()) {
                                 return Future.succeededFuture(FROM_LOAN);
                             }
-                            return remaining.isEmpty()
+                            long waitedNanos = mTicker.nanoTime() - startedAt;
+                            return remaining.isEmpty() || waitedNanos >= MAX_LOAN_WAIT_NANOS
                                     ? Future.succeededFuture(
                                             rejectAfterLoans(customer, customerRate))
-                                    : borrowAndTake(customer, customerRate, remaining);
+                                    : borrowAndTake(customer, customerRate, remaining, startedAt);
                         });
     }
 
@@ -117,15 +157,21 @@
 
     private CustomerRate refill(CustomerSpec customer) {
         long now = mTicker.nanoTime();
-        int shareCount = mPeers.rateShareCount();
-        double burstShare = customer.burst() / shareCount;
+        double fraction = shareFraction(customer);
+        double burstShare = customer.burst() * fraction;
         CustomerRate customerRate =
                 mRatesByCustomer.computeIfAbsent(
                         customer.name(), name -> new CustomerRate(burstShare, now));
-        customerRate.mBucket.refill(customer.ratePerS() / shareCount, burstShare, now);
+        customerRate.mBucket.refill(customer.ratePerS() * fraction, burstShare, now);
         return customerRate;
     }
 
+    /** Returns this host's part of the customer's rate, from 0 to 1. */
+    private double shareFraction(CustomerSpec customer) {
+        Set<String> holders = mHolders.holdersOf(customer.name());
+        return holders.contains(mPeers.self()) ? 1.0 / holders.size() : 0;
+    }
+
     private Future<Double> borrow(
             CustomerSpec customer, CustomerRate customerRate, List<PeerTable.Peer> lenders) {
         Future<Double> pending = customerRate.mPendingLoan;
@@ -133,8 +179,8 @@
             return pending;
         }
         int count = lenders.size();
-        double share = customer.ratePerS() * LOAN_SECONDS / mPeers.rateShareCount();
-        double wanted = 1 + share / count;
+        double demandPerS = customerRate.mDemand.tokensPerSecond(mTicker.nanoTime());
+        double wanted = 1 + demandPerS * LOAN_SECONDS / count;
         List<Future<Double>> loans = new ArrayList<>();
         for (PeerTable.Peer lender : lenders) {
             loans.add(requestLoan(lender, customer.name(), wanted, customerRate));
@@ -142,12 +188,13 @@
         Promise<Double> promise = Promise.promise();
         customerRate.mPendingLoan = promise.future();
         Future.join(loans)
+                .timeout(LOAN_WAIT_MS, TimeUnit.MILLISECONDS)
                 .onComplete(
                         done -> {
                             customerRate.mPendingLoan = null;
                             double totalLent = 0;
                             for (Future<Double> loan : loans) {
-                                totalLent += loan.result();
+                                totalLent += loan.succeeded() ? loan.result() : 0;
                             }
                             LOG.info(
                                     "step=limit customer={} lenders={} wanted={} lent={}",
@@ -173,6 +220,7 @@
                         })
                 .otherwise(
                         e -> {
+                            mPeers.recordNoAnswer(lender.name());
                             LOG.info(
                                     "step=limit customer={} lender={} outcome=no-answer cause={}",
                                     customer,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
@@ -27,6 +27,7 @@
     private final String mHost;
     private final long mIncarnation;
     private final String mPeerAddress;
+    private final double mCores;
     private final Runnable mOnStoreUnresponsive;
     private long mLeaseId;
     private long mConfirmedAt;
@@ -36,6 +37,7 @@
     /**
      * Creates a lease without registering the host.
      *
+     * @param cores processor capacity of the host, in cores
      * @param onStoreUnresponsive runs when the store did not reply to a renewal; open connections
      *     to it may be dead
      */
@@ -46,6 +48,7 @@
             String host,
             long incarnation,
             String peerAddress,
+            double cores,
             Runnable onStoreUnresponsive) {
         mVertx = vertx;
         mTicker = ticker;
@@ -53,6 +56,7 @@
         mHost = host;
         mIncarnation = incarnation;
         mPeerAddress = peerAddress;
+        mCores = cores;
         mOnStoreUnresponsive = onStoreUnresponsive;
     }
 
@@ -95,6 +99,7 @@
                                     new JsonObject()
                                             .put("peer", mPeerAddress)
                                             .put("incarnation", mIncarnation)
+                                            .put("cores", mCores)
                                             .encode();
                             StoreTransaction put =
                                     new StoreTransaction()
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -18,16 +18,22 @@
 public final class LoadTable {
     private static final long REPORT_TTL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /** Shortest time between two sums over the reports of all peers. */
+    private static final long SUM_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     private record Report(long receivedAt, List<InFlight> inFlight) {}
 
     private final Ticker mTicker;
     private final Map<String, TargetLoad> mLoads = new HashMap<>();
     private final Map<String, Report> mReports = new HashMap<>();
     private Runnable mEndListener = () -> {};
+    private boolean mSumsOutdated;
+    private long mSummedAt;
 
     /** Creates an empty table. */
     public LoadTable(Ticker ticker) {
         mTicker = ticker;
+        mSummedAt = ticker.nanoTime();
     }
 
     /** Sets the listener that runs each time a request of this host has ended at a target. */
@@ -43,6 +49,9 @@
 
     /** Returns the load of {@code target}, creating it when there is none yet. */
     public TargetLoad loadOf(TargetInstance target) {
+        if (mSumsOutdated && mTicker.nanoTime() - mSummedAt >= SUM_INTERVAL_NANOS) {
+            updatePeerLoads();
+        }
         return loadOf(target.incarnation());
     }
 
@@ -50,15 +59,17 @@
         return mLoads.computeIfAbsent(incarnation, i -> new TargetLoad());
     }
 
-    /** Records what a peer has in flight and updates the load of all targets. */
+    /** Records what a peer has in flight. */
     public void recordReport(HostReport report) {
         mReports.put(report.getHost(), new Report(mTicker.nanoTime(), report.getInFlight()));
-        updatePeerLoads();
+        mSumsOutdated = true;
     }
 
     private void updatePeerLoads() {
         long now = mTicker.nanoTime();
+        mSummedAt = now;
         mReports.values().removeIf(report -> now - report.receivedAt() > REPORT_TTL_NANOS);
+        mSumsOutdated = !mReports.isEmpty();
         Map<String, int[]> sums = new HashMap<>();
         for (Report report : mReports.values()) {
             for (InFlight entry : report.inFlight()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerRegistrationListener.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerRegistrationListener.java
@@ -57,11 +57,13 @@
     private void register(StoreEntry entry) {
         String name = ServingKeys.Kind.HOST.name(entry.key());
         try {
-            String address = new JsonObject(entry.text()).getString("peer");
+            JsonObject registration = new JsonObject(entry.text());
+            String address = registration.getString("peer");
             if (address == null) {
                 throw new DecodeException("the registration has no peer address");
             }
-            mPeers.register(new PeerTable.Peer(name, address));
+            mPeers.register(
+                    new PeerTable.Peer(name, address, registration.getDouble("cores", 1.0)));
             LOG.info("step=peer peer={} address={} outcome=registered", name, address);
         } catch (DecodeException | ClassCastException e) {
             LOG.error("step=peer peer={} outcome=unusable cause={}", name, e.getMessage());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -25,7 +25,7 @@
  * reported. Confined to the event loop.
  */
 public final class PlacementClient {
-    private static final long PLACEMENT_TIMEOUT_MS = 90;
+    private static final long PLACEMENT_TIMEOUT_MS = 150;
     private static final long GRANT_WAIT_MS = 400;
 
     /** Requests of all hosts per slot at or above which a target gets no further online request. */
@@ -111,6 +111,7 @@
         if (peer == null) {
             return Future.succeededFuture(placeLocally(request, "coordinator-gone"));
         }
+        long sentAt = mTicker.nanoTime();
         return mPeerClient
                 .call(
                         peer.address(),
@@ -119,10 +120,11 @@
                 .transform(
                         reply -> {
                             if (reply.succeeded()) {
+                                mCoordinatorLookup.recordAnswer(peer);
                                 return handleReply(
                                         request, reply.result().getPlaceAnswer(), peer.name());
                             }
-                            mCoordinatorLookup.markSuspect(peer, reply.cause());
+                            mCoordinatorLookup.recordNoAnswer(peer, sentAt, reply.cause());
                             return Future.succeededFuture(placeLocally(request, "no-coordinator"));
                         });
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
@@ -31,7 +31,7 @@
 final class PlacementCoordinator {
     private static final Logger LOG = LoggerFactory.getLogger(PlacementCoordinator.class);
     private static final long GRANT_INTERVAL_MS = 25;
-    private static final long NOTIFY_TIMEOUT_MS = 90;
+    private static final long NOTIFY_TIMEOUT_MS = 400;
 
     private final Vertx mVertx;
     private final Ticker mTicker;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -120,7 +120,8 @@
         long now = mTicker.nanoTime();
         long configVersion = mState.config().version();
         boolean unchanged = inFlight.equals(mLastInFlight) && configVersion == mLastConfigVersion;
-        if (unchanged && now - mLastSentAt < MAX_REPORT_INTERVAL_NANOS) {
+        boolean mayWait = unchanged || mPeers.isLargeFleet();
+        if (mayWait && now - mLastSentAt < MAX_REPORT_INTERVAL_NANOS) {
             return;
         }
         mLastInFlight = inFlight;
@@ -137,14 +138,14 @@
     /** Returns the peers of the next report round, and the peers that coordinate services. */
     private Set<PeerTable.Peer> nextRecipients() {
         List<PeerTable.Peer> sortedPeers = new ArrayList<>(mPeers.registered());
-        if (sortedPeers.size() <= PeerTable.PEERS_PER_ROUND) {
+        int peersPerRound = mPeers.peersPerRound();
+        if (sortedPeers.size() <= peersPerRound) {
             return Set.copyOf(sortedPeers);
         }
         sortedPeers.sort(Comparator.comparing(PeerTable.Peer::name));
         Collections.rotate(sortedPeers, -mRoundOffset);
-        mRoundOffset = (mRoundOffset + PeerTable.PEERS_PER_ROUND) % sortedPeers.size();
-        Set<PeerTable.Peer> recipients =
-                new HashSet<>(sortedPeers.subList(0, PeerTable.PEERS_PER_ROUND));
+        mRoundOffset = (mRoundOffset + peersPerRound) % sortedPeers.size();
+        Set<PeerTable.Peer> recipients = new HashSet<>(sortedPeers.subList(0, peersPerRound));
         recipients.addAll(mPlacementClient.coordinatingPeers());
         return recipients;
     }
@@ -220,6 +221,7 @@
     }
 
     private void recordNoReply(PeerTable.Peer peer, Throwable e) {
+        mPeers.recordNoAnswer(peer.name());
         if (mUnresponsivePeers.add(peer.name())) {
             LOG.warn("step=peer peer={} outcome=lost cause={}", peer.name(), e.getMessage());
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
@@ -15,6 +15,7 @@
  * @param placementClient client that places requests on targets
  * @param targetClient connections to targets
  * @param rateLimiter rate limits of the customers
+ * @param loopLag how long requests may have waited to be read
  * @param metrics counters and histograms
  */
 public record ServingContext(
@@ -26,4 +27,5 @@
         PlacementClient placementClient,
         TargetClient targetClient,
         CustomerRateLimiter rateLimiter,
+        EventLoopLag loopLag,
         ServingMetrics metrics) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -40,9 +40,9 @@
      * Watch calls per second of all hosts together for jobs and hosts. The limit may be low, since
      * a peer sends a notice of urgent changes.
      */
-    private static final long CONTROL_WATCHES_PER_S = 20;
+    private static final long CONTROL_WATCHES_PER_S = 8;
 
-    private static final long MAX_CONTROL_INTERVAL_MS = 1_500;
+    private static final long MAX_CONTROL_INTERVAL_MS = 3_000;
 
     /**
      * Watch calls per second of all hosts together for targets. The limit is higher, since no
@@ -75,6 +75,7 @@
     private final HostLease mLease;
     private final ReportExchange mReportExchange;
     private final PlacementClient mPlacementClient;
+    private final EventLoopLag mLoopLag;
     private final ServingContext mContext;
     private final JobRunner mJobRunner;
     private final JobRequestHandler mJobRequestHandler;
@@ -96,7 +97,7 @@
         WatchableStore store = new MeteredStore(platformStore, mMetrics);
         mStore = mCloser.add(store);
         long incarnation = System.currentTimeMillis();
-        mPeers = new PeerTable(mTicker, settings.host());
+        mPeers = new PeerTable(mTicker, settings.host(), settings.cores());
         mPeerClient = mCloser.add(new PeerClient(vertx));
         mLoads = new LoadTable(mTicker);
         mRateLimiter = new CustomerRateLimiter(mTicker, mState, mPeers, mPeerClient);
@@ -118,6 +119,7 @@
         JobIndex jobIndex = new JobIndex();
         JobStorage jobStorage = new JobStorage(store);
         mPlacementClient = newPlacementClient();
+        mLoopLag = new EventLoopLag(vertx, mTicker);
         mContext = newContext();
         mJobRunner =
                 mCloser.add(
@@ -150,6 +152,7 @@
                         mSettings.host(),
                         incarnation,
                         NodeSettings.formatAddress(mSettings.peerAddress()),
+                        mSettings.cores(),
                         this::onStoreUnresponsive);
         return mCloser.add(lease);
     }
@@ -222,6 +225,7 @@
                 mPlacementClient,
                 mCloser.add(new TargetClient(mVertx)),
                 mRateLimiter,
+                mLoopLag,
                 mMetrics);
     }
 
@@ -264,6 +268,32 @@
     /** Starts all components except the server for callers. */
     public Future<Void> start() {
         PeerServer server = mCloser.add(new PeerServer(mVertx, mSettings.peerAddress()));
+        registerPeerHandlers(server);
+        HealthServer healthServer = new HealthServer(mVertx, mState, mMetrics);
+        registerGauges();
+        mLoopLag.start();
+        mConfigMirror.start();
+        mTargetMirror.start();
+        mControlMirror.start();
+        mLease.start();
+        mReportExchange.start();
+        mLoads.setEndListener(mReportExchange::reportSoon);
+        mJobRunner.start(mReportExchange::reportSoon);
+        mPlacementClient.start();
+        mVertx.setPeriodic(RATE_REFRESH_MS, t -> refreshRatesAndLoads());
+        LOG.info(
+                "step=start host={} failure_domain={} callers={} peers={}",
+                mSettings.host(),
+                mSettings.failureDomain(),
+                NodeSettings.formatAddress(mSettings.callerAddress()),
+                NodeSettings.formatAddress(mSettings.peerAddress()));
+        return Future.all(
+                        server.start(),
+                        healthServer.start(mSettings.readyAddress(), mSettings.metricsAddress()))
+                .mapEmpty();
+    }
+
+    private void registerPeerHandlers(PeerServer server) {
         server.registerHandler(
                 PeerRequest._Fields.REPORT,
                 request ->
@@ -300,27 +330,6 @@
                 request ->
                         runAndReply(
                                 () -> mPlacementClient.onSuspendRequest(request.getSuspendItem())));
-        HealthServer healthServer = new HealthServer(mVertx, mState, mMetrics);
-        registerGauges();
-        mConfigMirror.start();
-        mTargetMirror.start();
-        mControlMirror.start();
-        mLease.start();
-        mReportExchange.start();
-        mLoads.setEndListener(mReportExchange::reportSoon);
-        mJobRunner.start(mReportExchange::reportSoon);
-        mPlacementClient.start();
-        mVertx.setPeriodic(RATE_REFRESH_MS, t -> refreshRatesAndLoads());
-        LOG.info(
-                "step=start host={} failure_domain={} callers={} peers={}",
-                mSettings.host(),
-                mSettings.failureDomain(),
-                NodeSettings.formatAddress(mSettings.callerAddress()),
-                NodeSettings.formatAddress(mSettings.peerAddress()));
-        return Future.all(
-                        server.start(),
-                        healthServer.start(mSettings.readyAddress(), mSettings.metricsAddress()))
-                .mapEmpty();
     }
 
     private static Future<PeerReply> runAndReply(Runnable action) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
@@ -8,6 +8,7 @@
  *
  * @param host name of this host
  * @param failureDomain failure domain in which this host runs
+ * @param cores processor capacity of this host, in cores
  * @param callerAddress address on which this host listens for callers
  * @param readyAddress address on which this host answers the readiness check of the balancer
  * @param peerAddress address on which this host listens for other hosts
@@ -21,6 +22,7 @@
 public record ServingSettings(
         String host,
         String failureDomain,
+        double cores,
         InetSocketAddress callerAddress,
         InetSocketAddress readyAddress,
         InetSocketAddress peerAddress,
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobRequestHandlerTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobRequestHandlerTest.java
@@ -72,6 +72,7 @@
                                     host,
                                     1,
                                     "127.0.0.1:1",
+                                    1,
                                     () -> {});
                     JobStorage storage = new JobStorage(mStore);
                     JobRunner runner =
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -23,7 +23,7 @@
 public final class ServingFixture implements AutoCloseable {
     private final PeerClient mPeerClient;
     private final TargetClient mTargetClient;
-    private final PeerTable mPeers = new PeerTable(Ticker.SYSTEM, "self");
+    private final PeerTable mPeers = new PeerTable(Ticker.SYSTEM, "self", 1);
     private final ServingState mState = new ServingState();
     private final ServingContext mContext;
 
@@ -54,6 +54,7 @@
                         placementClient,
                         mTargetClient,
                         new CustomerRateLimiter(Ticker.SYSTEM, mState, mPeers, mPeerClient),
+                        new EventLoopLag(vertx, Ticker.SYSTEM),
                         metrics);
     }
 
