Share run times of items between hosts; keep timed-out calls apart from silence

Slots go to the host whose next item has the least slack. Hosts now tell each other their averages with the reports, and adopt a part of them (ItemRunTimesTest).

A scenario plays a service that answers without end.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/ItemRunTimes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/ItemRunTimes.java
@@ -4,9 +4,11 @@
 import java.util.Map;
 
 /**
- * Run times of batch items by route, learned from the items that this host has completed. They tell
- * how soon an item has to start to be done in time. Without them, an overloaded fleet would run
- * items in order of their due times and finish each of them slightly too late.
+ * Run times of batch items by route, learned from the items that the hosts have completed. They
+ * tell how soon an item has to start to be done in time. Without them, an overloaded fleet would
+ * run items in order of their due times and finish each of them slightly too late. Hosts tell each
+ * other their averages: slots go to the host with the least slack, so a host that expects shorter
+ * run times than the others would get its slots too late.
  *
  * <p>Not thread-safe.
  */
@@ -19,11 +21,20 @@
      */
     private static final double MIN_REMAINING_FRACTION = 0.1;
 
-    private record Averages(double events, double msPerEvent) {
-        Averages with(double newEvents, double newMsPerEvent) {
+    /** Part by which the averages of another host are adopted each time it tells them. */
+    private static final double ADOPTION_GAIN = 0.2;
+
+    /**
+     * Average item of a route.
+     *
+     * @param events number of events
+     * @param msPerEvent time for an event, suspensions included, milliseconds
+     */
+    public record Averages(double events, double msPerEvent) {
+        private Averages towards(Averages other, double gain) {
             return new Averages(
-                    events + GAIN * (newEvents - events),
-                    msPerEvent + GAIN * (newMsPerEvent - msPerEvent));
+                    events + gain * (other.events - events),
+                    msPerEvent + gain * (other.msPerEvent - msPerEvent));
         }
     }
 
@@ -36,11 +47,21 @@
      * @param runMs time from its first start to its end, suspensions included, milliseconds
      */
     public void recordCompletion(String route, long events, double runMs) {
-        double msPerEvent = runMs / Math.max(1, events);
-        Averages known = mAveragesByRoute.get(route);
-        Averages updated =
-                known == null ? new Averages(events, msPerEvent) : known.with(events, msPerEvent);
-        mAveragesByRoute.put(route, updated);
+        merge(route, new Averages(events, runMs / Math.max(1, events)), GAIN);
+    }
+
+    /** Moves the averages towards those that another host has learned. */
+    public void adopt(Map<String, Averages> averagesByRoute) {
+        averagesByRoute.forEach((route, averages) -> merge(route, averages, ADOPTION_GAIN));
+    }
+
+    private void merge(String route, Averages averages, double gain) {
+        mAveragesByRoute.merge(route, averages, (known, added) -> known.towards(added, gain));
+    }
+
+    /** Returns the averages by route. */
+    public Map<String, Averages> averagesByRoute() {
+        return Map.copyOf(mAveragesByRoute);
     }
 
     /**
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/ItemRunTimesTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/ItemRunTimesTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.core.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -31,4 +32,25 @@
         mRunTimes.recordCompletion("route", 100, 2_000);
         assertEquals(0, mRunTimes.remainingMs("other", 0));
     }
+
+    @Test
+    void hostWithoutCompletionsExpectsWhatTheOthersHaveLearned() {
+        mRunTimes.recordCompletion("route", 100, 2_000);
+        ItemRunTimes other = new ItemRunTimes();
+        other.adopt(mRunTimes.averagesByRoute());
+        assertEquals(2_000, other.remainingMs("route", 0));
+    }
+
+    @Test
+    void hostsThatTellEachOtherTheirRunTimesAgree() {
+        ItemRunTimes other = new ItemRunTimes();
+        mRunTimes.recordCompletion("route", 100, 2_000);
+        other.recordCompletion("route", 100, 6_000);
+        for (int i = 0; i < 20; i++) {
+            other.adopt(mRunTimes.averagesByRoute());
+            mRunTimes.adopt(other.averagesByRoute());
+        }
+        long difference = other.remainingMs("route", 0) - mRunTimes.remainingMs("route", 0);
+        assertTrue(Math.abs(difference) < 100, "difference: " + difference + " ms");
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/IdleTimeout.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/IdleTimeout.java
@@ -37,7 +37,13 @@
 
     /** Starts to check; the time counts from the last progress, or from the creation. */
     public void start() {
-        if (mTimeoutNanos <= 0 || mCancelled) {
+        if (mTimeoutNanos > 0) {
+            check();
+        }
+    }
+
+    private void check() {
+        if (mCancelled) {
             return;
         }
         long remainingNanos = mTimeoutNanos - (mTicker.nanoTime() - mLastProgressAt);
@@ -47,7 +53,7 @@
             return;
         }
         long remainingMs = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
-        mTimer = mVertx.setTimer(remainingMs, t -> start());
+        mTimer = mVertx.setTimer(remainingMs, t -> check());
     }
 
     /** Records progress, which starts the time anew. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -235,6 +235,11 @@
                 .orElse(0L);
     }
 
+    @Override
+    public ItemRunTimes runTimes() {
+        return mRunTimes;
+    }
+
     private void advanceJobs() {
         if (mStopping || mOwnedJobs.isEmpty()) {
             return;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
@@ -34,6 +34,9 @@
     /** Time without a reply to any call after which a connection counts as unresponsive. */
     private static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+    /** Stands for a connection on which no call waits for its first reply. */
+    private static final long NOT_SILENT = Long.MIN_VALUE;
+
     private final Vertx mVertx;
     private final NetClient mClient;
     private final AtomicLong mCallIds = new AtomicLong();
@@ -42,25 +45,25 @@
     private static final class Connection {
         private final Map<Long, Promise<PeerReply>> mPendingCalls = new ConcurrentHashMap<>();
         private final Future<NetSocket> mSocket;
-        private final AtomicLong mSilentSince = new AtomicLong(System.nanoTime());
+        private final AtomicLong mSilentSince = new AtomicLong(NOT_SILENT);
 
         Connection(Future<NetSocket> socket) {
             mSocket = socket;
         }
 
-        /** Records that a call is about to be sent; silence counts only while calls are pending. */
+        /** Records that a call is about to be sent, from which on silence counts. */
         void recordCall() {
-            if (mPendingCalls.isEmpty()) {
-                mSilentSince.set(System.nanoTime());
-            }
+            mSilentSince.compareAndSet(NOT_SILENT, System.nanoTime());
         }
 
         void recordReply() {
-            mSilentSince.set(System.nanoTime());
+            mSilentSince.set(mPendingCalls.isEmpty() ? NOT_SILENT : System.nanoTime());
         }
 
         boolean isUnresponsive() {
-            return System.nanoTime() - mSilentSince.get() >= MAX_SILENCE_NANOS;
+            long silentSince = mSilentSince.get();
+            return silentSince != NOT_SILENT
+                    && System.nanoTime() - silentSince >= MAX_SILENCE_NANOS;
         }
     }
 
@@ -89,6 +92,7 @@
                 mVertx.setTimer(
                         timeoutMs,
                         t -> {
+                            connection.mPendingCalls.remove(id);
                             boolean timedOut =
                                     promise.tryFail(
                                             unknownOutcomeError(
@@ -134,8 +138,8 @@
     }
 
     private static void onReply(Connection connection, PeerFrame frame) {
-        connection.recordReply();
         @Nullable Promise<PeerReply> promise = connection.mPendingCalls.remove(frame.getCallId());
+        connection.recordReply();
         if (promise != null && frame.isSetReply()) {
             promise.tryComplete(frame.getReply());
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/BatchWork.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/BatchWork.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import java.util.Map;
+import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.target.TargetInstance;
 
 /** The operations on this host's batch items that the placement of requests needs. */
@@ -23,4 +24,7 @@
      * overdue.
      */
     long firstDueInMs();
+
+    /** Returns the run times of items that this host knows. */
+    ItemRunTimes runTimes();
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -4,16 +4,19 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.generated.HostReport;
 import org.sesamepin.node.peer.generated.InFlight;
+import org.sesamepin.node.peer.generated.ItemRunTime;
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.slf4j.Logger;
@@ -128,6 +131,7 @@
         mLastSentAt = now;
         mLastConfigVersion = configVersion;
         HostReport report = newReport(inFlight, mLoads.meanEventIntervalsMs());
+        report.setItemRunTimes(itemRunTimes());
         PeerRequest request = PeerRequest.report(report);
         for (PeerTable.Peer peer : nextRecipients()) {
             send(peer, request);
@@ -167,7 +171,34 @@
     /** Records a peer's report and replies with this host's own. */
     public PeerReply handleReport(HostReport report) {
         recordReport(report);
-        return PeerReply.report(newReport(mLoads.ownInFlight(), Map.of()));
+        HostReport reply = newReport(mLoads.ownInFlight(), Map.of());
+        if (report.isSetItemRunTimes()) {
+            reply.setItemRunTimes(itemRunTimes());
+        }
+        return PeerReply.report(reply);
+    }
+
+    private Map<String, ItemRunTime> itemRunTimes() {
+        Map<String, ItemRunTime> times = new HashMap<>();
+        mBatchWork
+                .runTimes()
+                .averagesByRoute()
+                .forEach(
+                        (route, averages) ->
+                                times.put(
+                                        route,
+                                        new ItemRunTime(averages.events(), averages.msPerEvent())));
+        return times;
+    }
+
+    private void adoptItemRunTimes(Map<String, ItemRunTime> times) {
+        Map<String, ItemRunTimes.Averages> averages = new HashMap<>();
+        times.forEach(
+                (route, time) ->
+                        averages.put(
+                                route,
+                                new ItemRunTimes.Averages(time.getEvents(), time.getMsPerEvent())));
+        mBatchWork.runTimes().adopt(averages);
     }
 
     private void recordReport(HostReport report) {
@@ -176,6 +207,9 @@
         }
         mPeers.recordContact(report.getHost(), report.isStoreReachable());
         mLoads.recordReport(report);
+        if (report.isSetItemRunTimes()) {
+            adoptItemRunTimes(report.getItemRunTimes());
+        }
         mPlacementClient.localCoordinator().recordReport(report);
         if (isBehind(report) && !mCatchingUp) {
             mCatchingUp = true;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.lifecycle.Closer;
 import org.sesamepin.core.membership.Rendezvous;
 import org.sesamepin.core.target.TargetInstance;
@@ -213,6 +214,11 @@
         public long firstDueInMs() {
             return mJobRunner.firstDueInMs();
         }
+
+        @Override
+        public ItemRunTimes runTimes() {
+            return mJobRunner.runTimes();
+        }
     }
 
     private ServingContext newContext() {
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -179,6 +179,14 @@
   3: i32 batch
 }
 
+// How long the batch items of a route run.
+struct ItemRunTime {
+  // Mean number of events of an item.
+  1: double events
+  // Mean time for an event, suspensions of the item included, in milliseconds.
+  2: double msPerEvent
+}
+
 // What a host tells each peer several times a second, and is told in the reply.
 struct HostReport {
   1: string host
@@ -197,6 +205,8 @@
   // Mean time between two events of a stream, by incarnation of the target, in milliseconds; empty
   // where nothing new is told.
   10: map<string, double> eventMs
+  // Run times of batch items, by route; not set by hosts of older versions.
+  11: optional map<string, ItemRunTime> itemRunTimes
 }
 
 // Asks the coordinator of a service for a target.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetSelector;
@@ -100,6 +101,11 @@
         public long firstDueInMs() {
             return 0;
         }
+
+        @Override
+        public ItemRunTimes runTimes() {
+            return new ItemRunTimes();
+        }
     }
 
     /** A protocol with the headers Id, After, Signed, Not-Run and Events. */
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/service/ServiceStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/service/ServiceStandIn.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -16,9 +17,12 @@
  * executions are counted by the caller's {@code Idempotency-Key} as well. {@code POST
  * /standin/faults} sets what happens to the next calls: {@code drop-after} executes them and closes
  * the connection, {@code drop-before} closes the connection without executing them, {@code silent}
- * executes them and never responds.
+ * executes them and never responds, {@code endless} executes them and sends a response body without
+ * end.
  */
 public final class ServiceStandIn extends StandInServer {
+    private static final Buffer ENDLESS_BLOCK = Buffer.buffer("a".repeat(64 << 10));
+
     private final String mName;
     private final AtomicLong mExecutionCount = new AtomicLong();
     private final Map<String, Long> mExecutionsByIdempotencyKey = new TreeMap<>();
@@ -85,6 +89,10 @@
         if (fault.equals("silent")) {
             return;
         }
+        if (fault.equals("endless")) {
+            sendWithoutEnd(request.response().setChunked(true));
+            return;
+        }
         JsonObject responseBody =
                 new JsonObject()
                         .put("service", mName)
@@ -98,6 +106,13 @@
         }
     }
 
+    private static void sendWithoutEnd(HttpServerResponse response) {
+        while (!response.closed() && !response.writeQueueFull()) {
+            response.write(ENDLESS_BLOCK);
+        }
+        response.drainHandler(v -> sendWithoutEnd(response));
+    }
+
     private synchronized String consumeFault() {
         if (mFault.equals("none") || mRemainingFaultyCalls <= 0) {
             return "none";
--- a/sesamepin-test/src/test/resources/features/bookings.feature
+++ b/sesamepin-test/src/test/resources/features/bookings.feature
@@ -18,6 +18,14 @@
     Then the answer is problem "target-failed" with execution "unknown"
     And the service ran 1 calls
 
+  Scenario: A service that answers without end does not get a booking twice, and the node lives on
+    When the service will "endless" the next 1 calls
+    And a caller books with key "b6" through node 0
+    Then the answer is problem "target-failed" with execution "unknown"
+    And the service ran 1 calls
+    When a caller streams 3 tokens through node 0
+    Then the stream is whole with 3 tokens
+
   Scenario: Without the store a booking with a key is refused and does not run
     When the store is "outage"
     And a caller books with key "b9" through node 0
