--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -69,6 +69,7 @@
         long now = mTicker.nanoTime();
         mSummedAt = now;
         mReports.values().removeIf(report -> now - report.receivedAt() > REPORT_TTL_NANOS);
+        // Reports expire, so the sums have to be made again as long as there are any.
         mSumsOutdated = !mReports.isEmpty();
         Map<String, int[]> sums = new HashMap<>();
         for (Report report : mReports.values()) {
