Log the shared parts of a prompt, and the events that a request had received

The log lines of placements and of decisions named neither, so that a content that ends its targets could not be told from a chance meeting of requests.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -34,6 +34,7 @@
     private final ItemRunTimes mRunTimes;
     private final Runnable mOnEnd;
     private final TargetAttempt mAttempt;
+    private final String mPromptLabel;
 
     /** Creates a run; {@code onEnd} is called when it ends, unless by {@link #suspend}. */
     ItemRun(
@@ -65,7 +66,8 @@
                         null,
                         0,
                         null,
-                        headers);
+                        headers,
+                        context.protocol().promptParts(headers));
         long lastEventId = job.progress().lastEventId(index);
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
@@ -77,6 +79,7 @@
                         true,
                         true,
                         MAX_SILENCE_MS);
+        mPromptLabel = head.prompt().label();
         mAttempt = new TargetAttempt(context, target, plan, this);
     }
 
@@ -93,13 +96,14 @@
         progress().recordStart(mIndex, mContext.ticker().nanoTime());
         mJob.runs().put(mIndex, this);
         LOG.info(
-                "step=place request={} job={} route={} customer={} target={} resume_after={}"
-                        + " config_version={}",
+                "step=place request={} job={} route={} customer={} target={} prompt_parts={}"
+                        + " resume_after={} config_version={}",
                 itemId(),
                 mJob.id(),
                 mRoute.name(),
                 mJob.summary().customer(),
                 mTarget.incarnation(),
+                mPromptLabel,
                 progress().lastEventId(mIndex),
                 mContext.state().config().version());
         mAttempt.start();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHead.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHead.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.prompt.PromptParts;
 
 /**
  * The head of a caller's request.
@@ -17,6 +18,7 @@
  * @param resumeAfter id of the last event that the caller has received; null for a stream from its
  *     start
  * @param forwardedHeaders headers that are forwarded to a target
+ * @param prompt shared parts of the request's prompt
  */
 public record CallHead(
         String id,
@@ -27,4 +29,5 @@
         @Nullable String key,
         long budgetMs,
         @Nullable String resumeAfter,
-        MultiMap forwardedHeaders) {}
+        MultiMap forwardedHeaders,
+        PromptParts prompt) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -154,7 +154,8 @@
         String resumeAfter = mLastEventId > 0 ? Long.toString(mLastEventId) : null;
         LOG.info(
                 "step=place request={} route={} customer={} service={} target={} occupancy={}"
-                        + " decider={} budget_ms={} resume_after={} config_version={}",
+                        + " decider={} budget_ms={} prompt_parts={} resume_after={}"
+                        + " config_version={}",
                 mHead.id(),
                 mRoute.name(),
                 mCustomer,
@@ -163,6 +164,7 @@
                 placement.occupancy(),
                 placement.decider(),
                 remainingMs,
+                mHead.prompt().label(),
                 resumeAfter,
                 mContext.state().config().version());
         TargetAttempt.Plan plan =
@@ -295,12 +297,13 @@
         TargetAttempt attempt = mAttempt;
         LOG.info(
                 "step=decide request={} target={} next={} may_have_run={} passed_on={}"
-                        + " cause=\"{}\"",
+                        + " events={} cause=\"{}\"",
                 mHead.id(),
                 attempt == null ? "-" : attempt.target().incarnation(),
                 decision,
                 mPolicy.mayHaveRun(),
                 mPolicy.hasForwarded(),
+                mLastEventId,
                 reason);
         switch (decision) {
             case SEND, RESUME -> placeAndSend();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
@@ -51,6 +52,9 @@
             long budgetMs,
             @Nullable String resumeAfter);
 
+    /** Reads which shared parts the prompt of a request has, from the request's headers. */
+    PromptParts promptParts(MultiMap headers);
+
     /** Sends an error of this host to a caller. */
     void sendProblem(HttpServerResponse response, Problem problem, String requestId);
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
@@ -111,7 +112,8 @@
                         null,
                         0,
                         null,
-                        MultiMap.caseInsensitiveMultiMap());
+                        MultiMap.caseInsensitiveMultiMap(),
+                        PromptParts.NONE);
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
                         head, Buffer.buffer("{}"), null, 5_000, null, batch, repeatable, 0);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -10,6 +10,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.job.ItemRunTimes;
+import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetSelector;
@@ -147,6 +148,11 @@
             return resumeAfter == null ? headers : headers.add("After", resumeAfter);
         }
 
+        @Override
+        public PromptParts promptParts(MultiMap headers) {
+            return new PromptParts(headers.getAll("Part"));
+        }
+
         @Override
         public void sendProblem(HttpServerResponse response, Problem problem, String requestId) {
             response.setStatusCode(problem.type().status()).end();
