--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -22,9 +22,9 @@
  * In-memory store with conditional transactions, watches and injected faults of writes. Not
  * thread-safe.
  */
-final class MemoryStore implements WatchableStore {
+public final class MemoryStore implements WatchableStore {
     /** Fault of a write. */
-    enum Fault {
+    public enum Fault {
         NONE,
         /** The write takes effect, but its answer is lost. */
         ANSWER_LOST,
@@ -43,12 +43,16 @@
     private long mRevision = 1;
     private long mLastLease;
 
+    /** Creates an empty store. */
+    public MemoryStore() {}
+
     /** Sets the faults of the next writes, in their order. */
-    void injectFaults(Fault... faults) {
+    public void injectFaults(Fault... faults) {
         mNextFaults.addAll(List.of(faults));
     }
 
-    long countKeys(String prefix) {
+    /** Returns the number of keys that start with {@code prefix}. */
+    public long countKeys(String prefix) {
         return mEntries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
     }
 
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -0,0 +1,248 @@
+package org.sesamepin.node.serving;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.serving.ConnectionLimits;
+import org.sesamepin.core.serving.RouteKind;
+import org.sesamepin.core.serving.ServiceShare;
+import org.sesamepin.core.serving.ServiceSpec;
+import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.serving.ServingRoute;
+import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.node.job.MemoryStore;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreListing;
+import org.sesamepin.node.spi.StoreTransaction;
+
+/**
+ * Nodes in one process, with a store in memory and stand-in targets. All of them run on one event
+ * loop; the test's thread calls them through {@link #onLoop}.
+ */
+final class LoopbackFleet implements AutoCloseable {
+    private static final long TIMEOUT_SECONDS = 20;
+
+    private final Vertx mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final MemoryStore mStore = new MemoryStore();
+    private final StandInTargets mTargets;
+    private final ServingConfig mConfig;
+    private final List<ServingNode> mNodes = new ArrayList<>();
+    private final List<Integer> mPorts = new ArrayList<>();
+    private final HttpClient mClient = mVertx.createHttpClient();
+    private int mRequests;
+
+    LoopbackFleet(RouteKind kind, Set<String> badParts) {
+        mTargets = new StandInTargets(mVertx, mStore, badParts);
+        ServingRoute route =
+                new ServingRoute(
+                        "r",
+                        "h",
+                        "/",
+                        kind,
+                        5_000,
+                        300,
+                        1,
+                        List.of(new ServiceShare(StandInTargets.SERVICE, 1)),
+                        3,
+                        true,
+                        300,
+                        0,
+                        0,
+                        0);
+        mConfig =
+                new ServingConfig(
+                        1,
+                        List.of(route),
+                        List.of(new ServiceSpec(StandInTargets.SERVICE, StandInTargets.SLOTS)),
+                        null,
+                        ConnectionLimits.DEFAULT);
+    }
+
+    /** Starts the targets and the nodes, and waits until the nodes know all targets. */
+    void start(int nodes, int targets) throws Exception {
+        onLoop(
+                () -> {
+                    mStore.commit(new StoreTransaction().put("config/c", "1"));
+                    for (int i = 0; i < targets; i++) {
+                        mTargets.startOne();
+                    }
+                    return Future.succeededFuture();
+                });
+        for (int i = 0; i < nodes; i++) {
+            startNode();
+        }
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!onLoop(() -> Future.succeededFuture(knowsTargets(targets)))) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new IllegalStateException("the nodes do not learn the targets");
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean knowsTargets(int targets) {
+        return mNodes.stream()
+                .map(node -> node.context().state().targets())
+                .allMatch(directory -> ready(directory) == targets);
+    }
+
+    private static int ready(TargetDirectory directory) {
+        return directory.readyTargets(StandInTargets.SERVICE).size();
+    }
+
+    /** Starts one more node. */
+    void startNode() throws Exception {
+        String name = "n" + mNodes.size();
+        onLoop(
+                () -> {
+                    ServingNode node =
+                            new ServingNode(
+                                    mVertx,
+                                    newSettings(name),
+                                    new PlainProtocol(mConfig),
+                                    mStore,
+                                    new IgnoringListener());
+                    mNodes.add(node);
+                    CallHandler handler =
+                            new CallHandler(node.context(), (r, head, body, route, c) -> {});
+                    return node.start()
+                            .compose(
+                                    v ->
+                                            mVertx.createHttpServer()
+                                                    .requestHandler(r -> handle(handler, r))
+                                                    .listen(0, "127.0.0.1"))
+                            .map(server -> mPorts.add(server.actualPort()));
+                });
+    }
+
+    private static void handle(CallHandler handler, HttpServerRequest request) {
+        PlainProtocol protocol = new PlainProtocol(ServingConfig.NONE);
+        handler.handle(
+                request,
+                new CallHead(
+                        request.getHeader("Id"),
+                        request.method(),
+                        "h",
+                        "/x",
+                        "/x",
+                        null,
+                        5_000,
+                        null,
+                        request.headers(),
+                        protocol.promptParts(request.headers())));
+    }
+
+    private static ServingSettings newSettings(String name) throws Exception {
+        return new ServingSettings(
+                name,
+                "a",
+                1,
+                freeAddress(),
+                freeAddress(),
+                freeAddress(),
+                List.of(),
+                freeAddress(),
+                8_000,
+                60_000);
+    }
+
+    private static InetSocketAddress freeAddress() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    StandInTargets targets() {
+        return mTargets;
+    }
+
+    MemoryStore store() {
+        return mStore;
+    }
+
+    ServingNode node(int index) {
+        return mNodes.get(index);
+    }
+
+    Vertx vertx() {
+        return mVertx;
+    }
+
+    /**
+     * Sends a request with the shared {@code parts} to a node, once; the result is its status, or 0
+     * when the answer did not arrive whole. Called on the event loop.
+     */
+    Future<Integer> send(int node, List<String> parts) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setMethod(HttpMethod.POST)
+                        .setHost("127.0.0.1")
+                        .setPort(mPorts.get(node))
+                        .setURI("/x");
+        return mClient.request(options)
+                .compose(
+                        request ->
+                                request.putHeader("Id", "q" + ++mRequests)
+                                        .putHeader("Part", parts)
+                                        .send("{}"))
+                .compose(LoopbackFleet::statusOfWholeAnswer)
+                .otherwise(0);
+    }
+
+    private static Future<Integer> statusOfWholeAnswer(HttpClientResponse response) {
+        return response.body().map(body -> response.statusCode());
+    }
+
+    /** Runs {@code task} on the event loop and returns its result. */
+    <T> T onLoop(Callable<Future<T>> task) throws Exception {
+        Promise<T> done = Promise.promise();
+        mVertx.runOnContext(
+                v -> {
+                    try {
+                        task.call().onComplete(done);
+                    } catch (Exception e) {
+                        done.fail(e);
+                    }
+                });
+        return done.future()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (ServingNode node : mNodes) {
+            onLoop(
+                    () -> {
+                        node.close();
+                        return Future.succeededFuture();
+                    });
+        }
+        mVertx.close()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static final class IgnoringListener implements StoreMirror.Listener {
+        @Override
+        public void onListing(StoreListing listing, boolean afterOutage) {}
+
+        @Override
+        public void onChanges(StoreChanges changes, boolean afterOutage) {}
+    }
+}
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -0,0 +1,84 @@
+package org.sesamepin.node.serving;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerResponse;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.http.Problem;
+
+/**
+ * A protocol with the headers Id, After, Part, Signed, Not-Run and Events, whose configuration is
+ * given and whose targets register as {@link StandInTargets} does.
+ */
+final class PlainProtocol implements FleetProtocol {
+    private final ServingConfig mConfig;
+
+    PlainProtocol(ServingConfig config) {
+        mConfig = config;
+    }
+
+    @Override
+    public String configPrefix() {
+        return "config/";
+    }
+
+    @Override
+    public boolean isConfig(String key) {
+        return key.equals("config/c");
+    }
+
+    @Override
+    public String targetPrefix() {
+        return "targets/";
+    }
+
+    @Override
+    public ServingConfig decodeConfig(byte[] value) {
+        return mConfig;
+    }
+
+    @Override
+    public TargetInstance decodeTarget(String key, byte[] value) {
+        return StandInTargets.decode(new String(value, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public MultiMap requestHeaders(
+            CallHead head,
+            TargetInstance target,
+            @Nullable String customer,
+            long budgetMs,
+            @Nullable String resumeAfter) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Id", head.id());
+        headers.add("Part", head.prompt().shared());
+        return resumeAfter == null ? headers : headers.add("After", resumeAfter);
+    }
+
+    @Override
+    public PromptParts promptParts(MultiMap headers) {
+        return new PromptParts(headers.getAll("Part"));
+    }
+
+    @Override
+    public void sendProblem(HttpServerResponse response, Problem problem, String requestId) {
+        response.putHeader("Problem", problem.type().label())
+                .setStatusCode(problem.type().status())
+                .end();
+    }
+
+    @Override
+    public ResponseHead readResponseHead(HttpClientResponse response) {
+        return new ResponseHead(
+                response.statusCode(),
+                response.getHeader("Id"),
+                response.getHeader("Not-Run") != null,
+                response.getHeader("Signed") != null,
+                false,
+                response.getHeader("Events") != null,
+                MultiMap.caseInsensitiveMultiMap());
+    }
+}
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -1,21 +1,13 @@
 package org.sesamepin.node.serving;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
 import java.util.Random;
-import org.jspecify.annotations.Nullable;
-import org.sesamepin.core.error.SesamepinException;
-import org.sesamepin.core.error.Step;
 import org.sesamepin.core.job.ItemRunTimes;
-import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetSelector;
 import org.sesamepin.core.time.Ticker;
-import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.target.TargetClient;
 
@@ -50,7 +42,7 @@
                 new ServingContext(
                         vertx,
                         Ticker.SYSTEM,
-                        new PlainProtocol(),
+                        new PlainProtocol(ServingConfig.NONE),
                         mState,
                         loads,
                         placementClient,
@@ -108,66 +100,4 @@
             return new ItemRunTimes();
         }
     }
-
-    /** A protocol with the headers Id, After, Signed, Not-Run and Events. */
-    private static final class PlainProtocol implements FleetProtocol {
-        @Override
-        public String configPrefix() {
-            return "config/";
-        }
-
-        @Override
-        public boolean isConfig(String key) {
-            return false;
-        }
-
-        @Override
-        public String targetPrefix() {
-            return "targets/";
-        }
-
-        @Override
-        public ServingConfig decodeConfig(byte[] value) throws SesamepinException {
-            throw new SesamepinException(
-                    Step.LOAD_BUNDLE, "test", "not supported by this protocol");
-        }
-
-        @Override
-        public TargetInstance decodeTarget(String key, byte[] value) throws SesamepinException {
-            throw new SesamepinException(Step.STORE_READ, key, "not supported by this protocol");
-        }
-
-        @Override
-        public MultiMap requestHeaders(
-                CallHead head,
-                TargetInstance target,
-                @Nullable String customer,
-                long budgetMs,
-                @Nullable String resumeAfter) {
-            MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Id", head.id());
-            return resumeAfter == null ? headers : headers.add("After", resumeAfter);
-        }
-
-        @Override
-        public PromptParts promptParts(MultiMap headers) {
-            return new PromptParts(headers.getAll("Part"));
-        }
-
-        @Override
-        public void sendProblem(HttpServerResponse response, Problem problem, String requestId) {
-            response.setStatusCode(problem.type().status()).end();
-        }
-
-        @Override
-        public ResponseHead readResponseHead(HttpClientResponse response) {
-            return new ResponseHead(
-                    response.statusCode(),
-                    response.getHeader("Id"),
-                    response.getHeader("Not-Run") != null,
-                    response.getHeader("Signed") != null,
-                    false,
-                    response.getHeader("Events") != null,
-                    MultiMap.caseInsensitiveMultiMap());
-        }
-    }
 }
