Test answers that end with their connection

An answer with neither length nor chunks is whole only when its connection closes cleanly, and a stream only behind a whole event.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -2,10 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.net.InetSocketAddress;
@@ -41,6 +45,7 @@
     private final CompletableFuture<String> mEnd = new CompletableFuture<>();
     private String mResponse = "";
     private boolean mCloseAfterResponse;
+    private boolean mResetAfterResponse;
     private @Nullable TargetInstance mTarget;
 
     @BeforeEach
@@ -68,13 +73,22 @@
     private void respond(NetSocket socket) {
         socket.handler(
                 request -> {
-                    socket.write(mResponse);
-                    if (mCloseAfterResponse) {
+                    Future<Void> written = socket.write(mResponse);
+                    if (mResetAfterResponse) {
+                        written.onSuccess(v -> reset(socket));
+                    } else if (mCloseAfterResponse) {
                         socket.close();
                     }
                 });
     }
 
+    /** Closes a connection with a reset, after the client has had time to read. */
+    private void reset(NetSocket socket) {
+        Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        mVertx.setTimer(100, t -> channel.unsafe().closeForcibly());
+    }
+
     @AfterEach
     void close() {
         mFixture.close();
@@ -208,6 +222,27 @@
                 "broken", run(EVENTS + chunk(event(1)) + chunk("id: 2\n") + LAST_CHUNK, false));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "Events: 1,event,false,ended",
+        "Events: 1,event,true,broken",
+        "Events: 1,part of an event,false,broken",
+        "Events: 1,part of an event,true,broken",
+        "Plain: 1,body,false,answered 200 body",
+        "Plain: 1,body,true,broken"
+    })
+    void responseWithoutLengthIsCompleteOnlyWhenItsConnectionClosesCleanly(
+            String header, String content, boolean reset, String expected) throws Exception {
+        mResetAfterResponse = reset;
+        String body =
+                switch (content) {
+                    case "event" -> event(1);
+                    case "part of an event" -> event(1) + "id: 2\nda";
+                    default -> content;
+                };
+        assertEquals(expected, run(OK + header + "\r\n\r\n" + body, true));
+    }
+
     @Test
     void requestIsNotSentToATargetThatLeft() throws Exception {
         mFixture.state().setTargets(new TargetDirectory(List.of()));
