Read the quarantine of prompts before the first request; test power loss and store outage

After a loss of power of all hosts, a host that knew its configuration before it had read the quarantine sent such requests on: the new test got no refusal and a target ended. Requests now wait for that reading, for two seconds at most. Also tested: all hosts refuse them while the store takes no writes.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -41,6 +41,9 @@
 
     private static final long SEND_TIMEOUT_MS = 400;
 
+    /** Longest time after the start for which requests wait for the quarantine to be read. */
+    private static final long MAX_READ_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final Vertx mVertx;
     private final Ticker mTicker;
     private final PeerTable mPeers;
@@ -52,6 +55,7 @@
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final List<TargetEnd> mEndsToTell = new ArrayList<>();
     private final List<PromptQuarantine.Entry> mEntriesToTell = new ArrayList<>();
+    private final long mStartedAt;
     private long mLastEvidenceAt;
     private boolean mReviewScheduled;
     private long mEndCount;
@@ -73,6 +77,7 @@
         mPeers = peers;
         mPeerClient = peerClient;
         mIsProber = isProber;
+        mStartedAt = ticker.nanoTime();
         mSuspects = new PromptSuspects(ticker.nanoTime());
         mDetector = new TargetEndDetector(vertx, this::onTargetEnd);
         mQuarantineStore =
@@ -85,6 +90,14 @@
         return mQuarantineStore;
     }
 
+    /**
+     * Returns whether this host knows what is in quarantine. A host that has just started reads it
+     * from the store first; when the store does not answer, it serves without it after a while.
+     */
+    public boolean isLoaded() {
+        return mQuarantineStore.isListed() || mTicker.nanoTime() - mStartedAt > MAX_READ_NANOS;
+    }
+
     /**
      * Returns the quarantine that forbids to send a request to {@code service}, or null. A request
      * that is chosen as a probe is not forbidden, each time that it is asked about.
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -44,6 +44,7 @@
     private final Consumer<PromptQuarantine.Entry> mOnEntry;
     private final Consumer<Suspect> mOnRemoved;
     private final Map<String, Stored> mStored = new HashMap<>();
+    private boolean mListed;
 
     /**
      * Creates the store's side of a quarantine.
@@ -66,6 +67,11 @@
         return ServingKeys.promptQuarantine(suspect.service() + '/' + suspect.label());
     }
 
+    /** Returns whether the entries were read from the store. */
+    boolean isListed() {
+        return mListed;
+    }
+
     /** Writes an entry, unless the store holds one as new. */
     void put(PromptQuarantine.Entry entry) {
         long delay = 1 + ThreadLocalRandom.current().nextLong(MAX_WRITE_DELAY_MS);
@@ -133,6 +139,7 @@
 
     @Override
     public void onListing(StoreListing listing, boolean afterOutage) {
+        mListed = true;
         Set<String> listed = new HashSet<>();
         for (StoreEntry entry : listing.entries()) {
             if (ServingKeys.Kind.PROMPT_QUARANTINE.matches(entry.key())) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -25,7 +25,7 @@
  */
 public final class CallHandler {
     private static final Logger LOG = LoggerFactory.getLogger(CallHandler.class);
-    private static final long UNKNOWN_CONFIG_RETRY_MS = 500;
+    private static final long NOT_READY_RETRY_MS = 500;
 
     private final ServingContext mContext;
     private final JobSubmissionHandler mJobSubmissions;
@@ -93,14 +93,7 @@
     private ServingRoute findRoute(CallHead head) throws Problem {
         ServingConfig config = mContext.state().config();
         if (!config.isKnown()) {
-            throw new Problem(
-                    ProblemType.NOT_READY,
-                    Step.ROUTE,
-                    "node",
-                    Execution.NOT_RUN,
-                    "this host has not read a configuration yet",
-                    UNKNOWN_CONFIG_RETRY_MS,
-                    null);
+            throw notReady("this host has not read a configuration yet");
         }
         ServingRoute route = config.findRoute(head.host(), head.path());
         if (route == null) {
@@ -114,6 +107,9 @@
      * customer's rate.
      */
     private void checkPrompt(CallHead head, ServingRoute route) throws Problem {
+        if (!mContext.promptGuard().isLoaded()) {
+            throw notReady("this host has not read the quarantine of prompts yet");
+        }
         Problem problem = null;
         for (ServiceShare share : route.shares()) {
             PromptQuarantine.Entry entry =
@@ -142,6 +138,17 @@
                 null);
     }
 
+    private static Problem notReady(String detail) {
+        return new Problem(
+                ProblemType.NOT_READY,
+                Step.ROUTE,
+                "node",
+                Execution.NOT_RUN,
+                detail,
+                NOT_READY_RETRY_MS,
+                null);
+    }
+
     private @Nullable CustomerSpec findCustomer(CallHead head, ServingRoute route) throws Problem {
         ServingConfig config = mContext.state().config();
         if (route.open() || !config.requiresKeys()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -270,6 +270,11 @@
         return mContext;
     }
 
+    /** Returns the number of registered peers. */
+    int peerCount() {
+        return mPeers.registered().size();
+    }
+
     /** Returns the handler of requests about jobs. */
     public JobRequestHandler jobs() {
         return mJobRequestHandler;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -43,6 +44,7 @@
     private final List<Integer> mPorts = new ArrayList<>();
     private final HttpClient mClient = mVertx.createHttpClient();
     private int mRequests;
+    private int mStartedNodes;
 
     LoopbackFleet(RouteKind kind, Set<String> badParts) {
         mTargets = new StandInTargets(mVertx, mStore, badParts);
@@ -91,6 +93,7 @@
             }
             Thread.sleep(20);
         }
+        awaitPeers(nodes);
     }
 
     private boolean knowsTargets(int targets) {
@@ -105,7 +108,7 @@
 
     /** Starts one more node. */
     void startNode() throws Exception {
-        String name = "n" + mNodes.size();
+        String name = "n" + ++mStartedNodes;
         onLoop(
                 () -> {
                     ServingNode node =
@@ -165,6 +168,30 @@
         }
     }
 
+    /** Ends all nodes; those that start later take their places. */
+    void closeNodes() throws Exception {
+        for (ServingNode node : mNodes) {
+            onLoop(
+                    () -> {
+                        node.close();
+                        return Future.succeededFuture();
+                    });
+        }
+        mNodes.clear();
+        mPorts.clear();
+    }
+
+    /** Waits until each node knows the others. */
+    void awaitPeers(int nodes) throws Exception {
+        while (!onLoop(() -> Future.succeededFuture(knowPeers(nodes - 1)))) {
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean knowPeers(int peers) {
+        return mNodes.stream().allMatch(node -> node.peerCount() == peers);
+    }
+
     StandInTargets targets() {
         return mTargets;
     }
@@ -186,6 +213,17 @@
      * when the answer did not arrive whole. Called on the event loop.
      */
     Future<Integer> send(int node, List<String> parts) {
+        return request(node, parts).compose(LoopbackFleet::statusOfWholeAnswer).otherwise(0);
+    }
+
+    /** Sends a request as {@link #send} does; the result is the problem, empty for none. */
+    Future<String> sendForProblem(int node, List<String> parts) {
+        return request(node, parts)
+                .map(response -> Objects.requireNonNullElse(response.getHeader("Problem"), ""))
+                .otherwise("");
+    }
+
+    private Future<HttpClientResponse> request(int node, List<String> parts) {
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(HttpMethod.POST)
@@ -197,9 +235,7 @@
                         request ->
                                 request.putHeader("Id", "q" + ++mRequests)
                                         .putHeader("Part", parts)
-                                        .send("{}"))
-                .compose(LoopbackFleet::statusOfWholeAnswer)
-                .otherwise(0);
+                                        .send("{}"));
     }
 
     private static Future<Integer> statusOfWholeAnswer(HttpClientResponse response) {
@@ -225,13 +261,7 @@
 
     @Override
     public void close() throws Exception {
-        for (ServingNode node : mNodes) {
-            onLoop(
-                    () -> {
-                        node.close();
-                        return Future.succeededFuture();
-                    });
-        }
+        closeNodes();
         mVertx.close()
                 .toCompletionStage()
                 .toCompletableFuture()
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -1,15 +1,21 @@
 package org.sesamepin.node.serving;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sesamepin.core.serving.RouteKind;
+import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.job.MemoryStore;
 
 /** Plays requests of which some have a part that ends each target that answers it. */
 class PromptThatEndsTargetsTest {
@@ -21,11 +27,18 @@
     private static final double MIN_SERVED = 0.5;
     private static final int SUBJECTS = 6;
     private static final String BAD = "bad";
+    private static final String REFUSAL = ProblemType.PROMPT_QUARANTINED.label();
+    private static final MemoryStore.Fault[] REFUSED_WRITES = new MemoryStore.Fault[500];
+
+    static {
+        Arrays.fill(REFUSED_WRITES, MemoryStore.Fault.REFUSED);
+    }
 
     private final AtomicInteger mSoundSent = new AtomicInteger();
     private final AtomicInteger mSoundServed = new AtomicInteger();
 
-    private void startLoad(LoopbackFleet fleet, List<String> badParts) {
+    /** Starts the load; returns the timer that sends the bad requests. */
+    private long startLoad(LoopbackFleet fleet, List<String> badParts) {
         AtomicInteger sent = new AtomicInteger();
         fleet.vertx()
                 .setPeriodic(
@@ -37,7 +50,7 @@
                             fleet.send(n % NODES, parts)
                                     .onSuccess(s -> mSoundServed.addAndGet(s == 200 ? 1 : 0));
                         });
-        fleet.vertx().setPeriodic(90, t -> fleet.send(sent.get() % NODES, badParts));
+        return fleet.vertx().setPeriodic(90, t -> fleet.send(sent.get() % NODES, badParts));
     }
 
     @ParameterizedTest
@@ -65,6 +78,58 @@
         }
     }
 
+    @Test
+    void aHostThatStartsAfterAllHavePoweredOffKnowsThem() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of(BAD))) {
+            fleet.start(NODES, TARGETS);
+            learn(fleet);
+            fleet.closeNodes();
+            int before = onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size());
+            fleet.startNode();
+            awaitRefusal(fleet, 0);
+            assertEquals(before, onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size()));
+            assertRefusedEverywhere(fleet, 1);
+        }
+    }
+
+    @Test
+    void allHostsKnowThemWhileTheStoreTakesNoWrites() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of(BAD))) {
+            fleet.start(NODES, TARGETS);
+            onLoop(fleet, () -> fleet.store().injectFaults(REFUSED_WRITES));
+            learn(fleet);
+            assertRefusedEverywhere(fleet, NODES);
+        }
+    }
+
+    /** Sends sound and bad requests until all nodes refuse the bad ones. */
+    private void learn(LoopbackFleet fleet) throws Exception {
+        long timer = onLoopGet(fleet, () -> startLoad(fleet, List.of("first", BAD)));
+        for (int node = 0; node < NODES; node++) {
+            awaitRefusal(fleet, node);
+        }
+        onLoop(fleet, () -> fleet.vertx().cancelTimer(timer));
+    }
+
+    private static void awaitRefusal(LoopbackFleet fleet, int node) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!REFUSAL.equals(fleet.onLoop(() -> fleet.sendForProblem(node, List.of(BAD))))) {
+            assertTrue(System.nanoTime() - deadline < 0, "node " + node + " still sends them");
+            Thread.sleep(100);
+        }
+    }
+
+    private static void assertRefusedEverywhere(LoopbackFleet fleet, int nodes) throws Exception {
+        int before = onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size());
+        for (int node = 0; node < nodes; node++) {
+            int ofNode = node;
+            assertEquals(
+                    REFUSAL,
+                    fleet.onLoop(() -> fleet.sendForProblem(ofNode, List.of("other", BAD))));
+        }
+        assertEquals(before, onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size()));
+    }
+
     private static long learnedAt(List<Long> ends) {
         return ends.get(LEARNED_AFTER_ENDS - 1) + TimeUnit.MILLISECONDS.toNanos(LEARNING_WINDOW_MS);
     }
@@ -77,8 +142,7 @@
                 });
     }
 
-    private static <T> T onLoopGet(LoopbackFleet fleet, java.util.function.Supplier<T> task)
-            throws Exception {
+    private static <T> T onLoopGet(LoopbackFleet fleet, Supplier<T> task) throws Exception {
         return fleet.onLoop(() -> Future.succeededFuture(task.get()));
     }
 }
