--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -47,6 +47,15 @@
     private int mStartedNodes;
 
     LoopbackFleet(RouteKind kind, Set<String> badParts) {
+        this(kind, badParts, StandInTargets.SLOTS);
+    }
+
+    /**
+     * Creates a fleet without nodes.
+     *
+     * @param slots slots of a target in the configuration; 0 leaves the service uncoordinated
+     */
+    LoopbackFleet(RouteKind kind, Set<String> badParts, int slots) {
         mTargets = new StandInTargets(mVertx, mStore, badParts);
         ServingRoute route =
                 new ServingRoute(
@@ -68,7 +77,7 @@
                 new ServingConfig(
                         1,
                         List.of(route),
-                        List.of(new ServiceSpec(StandInTargets.SERVICE, StandInTargets.SLOTS)),
+                        List.of(new ServiceSpec(StandInTargets.SERVICE, slots)),
                         null,
                         ConnectionLimits.DEFAULT);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.WatchableStore;
@@ -32,6 +33,8 @@
     private final Map<String, HttpServer> mServers = new HashMap<>();
     private final List<Long> mEndNanos = new ArrayList<>();
     private final List<Long> mBadArrivalNanos = new ArrayList<>();
+    private final Map<String, List<Long>> mArrivalNanos = new HashMap<>();
+    private String mRequestLimit = "";
     private int mStarted;
 
     StandInTargets(Vertx vertx, WatchableStore store, Set<String> badParts) {
@@ -62,6 +65,7 @@
         if (bad) {
             mBadArrivalNanos.add(System.nanoTime());
         }
+        mArrivalNanos.computeIfAbsent(id, i -> new ArrayList<>()).add(System.nanoTime());
         request.body()
                 .onSuccess(
                         body -> {
@@ -69,6 +73,9 @@
                             response.putHeader("Id", request.getHeader("Id"))
                                     .putHeader("Signed", "1")
                                     .putHeader("Events", "1");
+                            if (!mRequestLimit.isEmpty()) {
+                                response.putHeader("Limit", mRequestLimit);
+                            }
                             String after = request.getHeader("After");
                             long next = after == null ? 1 : Long.parseLong(after) + 1;
                             mVertx.setTimer(
@@ -105,6 +112,24 @@
         mVertx.setTimer(REPLACEMENT_MS, t -> startOne());
     }
 
+    /** Sets the requests per second that all targets name in their answers; empty for none. */
+    void setRequestLimit(String limit) {
+        mRequestLimit = limit;
+    }
+
+    /** Returns the most requests that one target got within {@code windowMs} after a moment. */
+    int mostArrivals(long windowMs, long afterNanos) {
+        int most = 0;
+        for (List<Long> arrivals : mArrivalNanos.values()) {
+            for (long from : arrivals) {
+                long until = from + TimeUnit.MILLISECONDS.toNanos(windowMs);
+                long count = arrivals.stream().filter(at -> at >= from && at < until).count();
+                most = from < afterNanos ? most : Math.max(most, (int) count);
+            }
+        }
+        return most;
+    }
+
     /** Returns the ids of the targets that run. */
     List<String> running() {
         return List.copyOf(mServers.keySet());
