Run items at targets with a limit first, and let a second of it collect

Items took the slots of the few targets without a limit, at each of which they slow the streams, while targets with a limit had slots and few requests. An item uses one request of a limit for seconds of work. What remains late are retries in bursts beyond what the four targets without a limit can run.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -103,6 +103,12 @@
     /** Requests within a target's limit that batch items leave for online requests. */
     private static final double TOKENS_RESERVED_FOR_ONLINE = 1;
 
+    /**
+     * Factor on the cost of a batch item at a target with a limit. Such a target has slots to spare
+     * but takes few requests, so it is best used by long ones.
+     */
+    private static final double LIMITED_TARGET_ITEM_COST = 0.25;
+
     /** The coordinator gives out the limits of its targets alone. */
     private static final double WHOLE_LIMIT = 1;
 
@@ -359,6 +365,9 @@
                                     now);
             double slowdown = slowdowns.getOrDefault(target.incarnation(), 1.0);
             double cost = slowdown * (1 + (double) total / Math.max(1, target.slots()));
+            if (mLimits.isLimited(target.incarnation())) {
+                cost *= LIMITED_TARGET_ITEM_COST;
+            }
             boolean usable =
                     hasRoom
                             && slowdown <= maxSlowdown
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRequestBuckets.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRequestBuckets.java
@@ -13,7 +13,7 @@
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     /** Time for which a bucket collects tokens that nothing uses, seconds. */
-    private static final double BURST_S = 0.5;
+    private static final double BURST_S = 1;
 
     private static final class Bucket {
         private double mTokens;
