--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.sesamepin.core.job.DueOrder;
 
 /**
  * Places the requests of all hosts on the targets of one service. The targets admit requests in
@@ -158,18 +157,12 @@
     /** A waiting request, and when its host last sent it. */
     private record QueuedRequest(Request request, long lastReceivedAt) {}
 
-    private record WaitingItems(int items, long firstDueAt) {
-        @Nullable WaitingItems withoutOne() {
-            return items > 1 ? new WaitingItems(items - 1, firstDueAt) : null;
-        }
-    }
-
     private final TargetRateLimits mLimits;
     private final TargetRequestBuckets mBuckets;
     private final InFlightTable mInFlight = new InFlightTable();
     private final TargetSpeeds mSpeeds = new TargetSpeeds();
     private final List<QueuedRequest> mQueue = new ArrayList<>();
-    private final Map<String, WaitingItems> mWaitingItemsByHost = new HashMap<>();
+    private final WaitingItemsTable mWaitingItems = new WaitingItemsTable();
     private double mMeanServiceTimeNanos = INITIAL_SERVICE_TIME_NANOS;
 
     /** Creates a coordinator that gives out what {@code limits} allows for all hosts. */
@@ -195,12 +188,7 @@
         }
         mInFlight.recordReport(status.host(), counts, status.failingTargets(), now);
         mSpeeds.recordReport(status.host(), status.eventIntervalsMs());
-        if (status.waitingItems() > 0) {
-            mWaitingItemsByHost.put(
-                    status.host(), new WaitingItems(status.waitingItems(), status.firstDueAt()));
-        } else {
-            mWaitingItemsByHost.remove(status.host());
-        }
+        mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt());
     }
 
     /**
@@ -333,14 +321,14 @@
     }
 
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
-        while (!mWaitingItemsByHost.isEmpty()) {
-            String host = hostWithFirstDueItem(now);
+        while (!mWaitingItems.isEmpty()) {
+            String host = mWaitingItems.hostWithFirstDueItem(now);
             Grant grant = placeBatchItem(host, targets, now);
             if (grant == null) {
                 return;
             }
             grants.add(grant);
-            mWaitingItemsByHost.computeIfPresent(host, (name, waiting) -> waiting.withoutOne());
+            mWaitingItems.removeOne(host);
         }
     }
 
@@ -388,26 +376,12 @@
     /** Returns whether more batch items wait than the faster targets have slots. */
     private boolean exceedsFastTargets(
             List<TargetInstance> targets, Map<String, Double> slowdowns) {
-        int waiting = mWaitingItemsByHost.values().stream().mapToInt(WaitingItems::items).sum();
         int slots = 0;
         for (TargetInstance target : targets) {
             boolean fast = slowdowns.getOrDefault(target.incarnation(), 1.0) <= MAX_BATCH_SLOWDOWN;
             slots += fast ? target.slots() : 0;
         }
-        return waiting > slots;
-    }
-
-    private String hostWithFirstDueItem(long now) {
-        String firstHost = "";
-        long firstDueInMs = 0;
-        for (Map.Entry<String, WaitingItems> entry : mWaitingItemsByHost.entrySet()) {
-            long dueInMs = TimeUnit.NANOSECONDS.toMillis(entry.getValue().firstDueAt() - now);
-            if (firstHost.isEmpty() || DueOrder.compare(dueInMs, firstDueInMs) < 0) {
-                firstHost = entry.getKey();
-                firstDueInMs = dueInMs;
-            }
-        }
-        return firstHost;
+        return mWaitingItems.total() > slots;
     }
 
     /** Returns the number of online requests in the queue. */
--- /dev/null
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
@@ -0,0 +1,59 @@
+package org.sesamepin.core.target;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.job.DueOrder;
+
+/** Batch items that wait for a placement, by host, as the hosts reported. Not thread-safe. */
+final class WaitingItemsTable {
+    private record Waiting(int items, long firstDueAt) {}
+
+    private final Map<String, Waiting> mByHost = new HashMap<>();
+
+    /**
+     * Replaces what {@code host} reported before.
+     *
+     * @param firstDueAt reading of the monotonic clock at which the first item is due, nanoseconds
+     */
+    void recordReport(String host, int items, long firstDueAt) {
+        if (items > 0) {
+            mByHost.put(host, new Waiting(items, firstDueAt));
+        } else {
+            mByHost.remove(host);
+        }
+    }
+
+    /** Removes one item of {@code host}, which was placed. */
+    void removeOne(String host) {
+        mByHost.computeIfPresent(
+                host,
+                (name, waiting) ->
+                        waiting.items() > 1
+                                ? new Waiting(waiting.items() - 1, waiting.firstDueAt())
+                                : null);
+    }
+
+    boolean isEmpty() {
+        return mByHost.isEmpty();
+    }
+
+    /** Returns the number of waiting items of all hosts. */
+    int total() {
+        return mByHost.values().stream().mapToInt(Waiting::items).sum();
+    }
+
+    /** Returns the host whose first item is due first; empty when none waits. */
+    String hostWithFirstDueItem(long now) {
+        String firstHost = "";
+        long firstDueInMs = 0;
+        for (Map.Entry<String, Waiting> entry : mByHost.entrySet()) {
+            long dueInMs = TimeUnit.NANOSECONDS.toMillis(entry.getValue().firstDueAt() - now);
+            if (firstHost.isEmpty() || DueOrder.compare(dueInMs, firstDueInMs) < 0) {
+                firstHost = entry.getKey();
+                firstDueInMs = dueInMs;
+            }
+        }
+        return firstHost;
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -4,14 +4,11 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.lifecycle.Closer;
 import org.sesamepin.core.membership.Rendezvous;
-import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetSelector;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.job.JobIndex;
@@ -201,41 +198,10 @@
                 mPeerClient,
                 targetSelector,
                 mMetrics,
-                new DeferredBatchWork(),
+                new DeferredBatchWork(() -> mJobRunner),
                 mLoads.limits());
     }
 
-    /**
-     * Reads the job runner at each call, because the job runner and the placement client depend on
-     * each other and the placement client is created first.
-     */
-    private final class DeferredBatchWork implements BatchWork {
-        @Override
-        public boolean suspendOne(TargetInstance target) {
-            return mJobRunner.suspendOne(target);
-        }
-
-        @Override
-        public boolean runOne(String service, TargetInstance target) {
-            return mJobRunner.runOne(service, target);
-        }
-
-        @Override
-        public Map<String, Integer> waitingItems() {
-            return mJobRunner.waitingItems();
-        }
-
-        @Override
-        public long firstDueInMs() {
-            return mJobRunner.firstDueInMs();
-        }
-
-        @Override
-        public ItemRunTimes runTimes() {
-            return mJobRunner.runTimes();
-        }
-    }
-
     private ServingContext newContext() {
         return new ServingContext(
                 mVertx,
