Store a quarantine of prompts at once, and name the decisions plainly

A host that had identified a part stored it up to 0.4 s later, so that a loss of power in between lost it: a request reached a target after the restart (the test of the restart failed once, 8 arrivals for 7). The host that identifies it now writes at once; the delay is left for entries of peers.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -29,7 +29,7 @@
      * @param untilMs when a probe may be sent, milliseconds since the Unix epoch
      */
     public record Entry(Suspect suspect, long sinceMs, long untilMs) {
-        /** Returns the entry of a suspect that was found guilty now. */
+        /** Returns the entry of a suspect that was identified now. */
         public static Entry startingAt(Suspect suspect, long nowMs) {
             return new Entry(suspect, nowMs, nowMs + FIRST_DURATION_MS);
         }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -17,15 +17,15 @@
  * the complete answers of all hosts.
  *
  * <p>Requests of many callers run at a target when it ends, and only one of them is the cause. A
- * part is found guilty when several targets ended under it, hardly an answer with it was completed,
- * and no other part explains the same ends better. A part that other requests complete is never
- * found guilty, however often it meets the guilty one. Not thread-safe.
+ * part is identified as the cause when several targets ended under it, hardly an answer with it was
+ * completed, and no other part explains the same ends better. A part whose answers are completed is
+ * never identified, however often it runs beside the cause. Not thread-safe.
  */
 public final class PromptSuspects {
-    /** Weighted ends under a part that find it guilty; more than chance meetings bring about. */
+    /** Weighted ends that identify a part; more than it meets by chance. */
     private static final double MIN_SCORE = 2.5;
 
-    /** Weighted ends from which on parts are all found guilty that explain the ends alike. */
+    /** Weighted ends that identify each of several parts which explain the ends equally well. */
     private static final double MIN_AMBIGUOUS_SCORE = 5;
 
     /** Fraction of the requests at ended targets from which on a part is a common one. */
@@ -33,8 +33,8 @@
 
     /**
      * Answers of the service, of any prompt, for each weighted end, without which a common part is
-     * not found guilty: where hardly anything is answered, as right after the start of all hosts,
-     * the ends do not tell it from the requests without it.
+     * not identified: where hardly anything is answered, as right after the start of all hosts, the
+     * ends do not tell it from the requests without it.
      */
     private static final double MIN_ANSWERS_PER_END = 4;
 
@@ -61,7 +61,7 @@
     private final LinkedHashMap<String, SeenEnd> mEnds = new LinkedHashMap<>();
     private final SuccessCounts mOwnSuccesses;
     private final Map<String, Map<String, Integer>> mPeerSuccesses = new HashMap<>();
-    private final Map<String, Integer> mLastTold = new HashMap<>();
+    private final Map<String, Integer> mLastReported = new HashMap<>();
 
     /** Creates a record without ends. */
     public PromptSuspects(long now) {
@@ -109,7 +109,7 @@
         }
         if (mEnds.isEmpty()) {
             mPeerSuccesses.clear();
-            mLastTold.clear();
+            mLastReported.clear();
         }
     }
 
@@ -118,7 +118,7 @@
      * of parts under which targets ended, where the number has at least doubled since it was last
      * returned.
      */
-    public Map<Suspect, Integer> successesToTell() {
+    public Map<Suspect, Integer> successesToReport() {
         Map<Suspect, Integer> changed = new TreeMap<>();
         for (SeenEnd seen : mEnds.values()) {
             addIfDoubled(seen.end().service(), ANY_PART, changed);
@@ -130,32 +130,32 @@
     private void addIfDoubled(String service, String part, Map<Suspect, Integer> changed) {
         String key = key(service, part);
         int count = mOwnSuccesses.count(key);
-        if (count > 0 && count >= 2 * mLastTold.getOrDefault(key, 0)) {
-            mLastTold.put(key, count);
+        if (count > 0 && count >= 2 * mLastReported.getOrDefault(key, 0)) {
+            mLastReported.put(key, count);
             changed.put(new Suspect(service, Set.of(part)), count);
         }
     }
 
     /**
-     * Returns the parts that are guilty by now.
+     * Returns the parts that are identified as a cause by now.
      *
-     * @param isKnown whether a suspect was found guilty before; the ends under it need no further
+     * @param isKnown whether a suspect was identified before; the ends under it need no further
      *     explanation
      */
-    public Set<Suspect> findGuilty(long now, Predicate<Suspect> isKnown) {
+    public Set<Suspect> findCauses(long now, Predicate<Suspect> isKnown) {
         dropOld(now);
         Set<String> services = new TreeSet<>();
         mEnds.values().forEach(seen -> services.add(seen.end().service()));
-        Set<Suspect> guilty = new TreeSet<>();
+        Set<Suspect> causes = new TreeSet<>();
         for (String service : services) {
-            findGuilty(service, now, isKnown, guilty);
+            findCauses(service, now, isKnown, causes);
         }
-        guilty.removeIf(isKnown);
-        return guilty;
+        causes.removeIf(isKnown);
+        return causes;
     }
 
-    private void findGuilty(
-            String service, long now, Predicate<Suspect> isKnown, Set<Suspect> guilty) {
+    private void findCauses(
+            String service, long now, Predicate<Suspect> isKnown, Set<Suspect> causes) {
         List<SeenEnd> ends = unexplainedEnds(service, now, isKnown);
         List<Score> scores = scores(service, ends);
         for (Score score : scores) {
@@ -164,14 +164,14 @@
             }
             Set<String> alike = explainingAlike(score, scores);
             if (alike.size() == 1 || alwaysTogether(alike, ends)) {
-                guilty.add(new Suspect(service, alike));
+                causes.add(new Suspect(service, alike));
             } else if (score.sum() >= MIN_AMBIGUOUS_SCORE) {
-                guilty.add(new Suspect(service, Set.of(score.part())));
+                causes.add(new Suspect(service, Set.of(score.part())));
             }
         }
     }
 
-    /** Returns the settled ends under which no part ran that is known to be guilty by itself. */
+    /** Returns the settled ends under which no part ran that is a known cause by itself. */
     private List<SeenEnd> unexplainedEnds(String service, long now, Predicate<Suspect> isKnown) {
         List<SeenEnd> ends = new ArrayList<>();
         for (SeenEnd seen : mEnds.values()) {
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/Suspect.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/Suspect.java
@@ -1,5 +1,6 @@
 package org.sesamepin.core.prompt;
 
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Set;
 import java.util.TreeSet;
@@ -17,7 +18,7 @@
 
     /** Copies the set in a fixed order. */
     public Suspect {
-        parts = java.util.Collections.unmodifiableSet(new TreeSet<>(parts));
+        parts = Collections.unmodifiableSet(new TreeSet<>(parts));
     }
 
     /** Returns whether a request of {@code requestService} with {@code prompt} has these parts. */
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -49,6 +49,16 @@
                 List.of(new JobResult("i0", true, "a\nb\nc")), progress.unpublishedResults(100));
     }
 
+    @Test
+    void deferredItemStaysOpenAndOthersRun() {
+        JobProgress progress = progress(2);
+        progress.defer(0, LATER);
+        assertEquals(1, progress.nextItem(0));
+        assertEquals(1, progress.runnableItems(0));
+        assertEquals(2, progress.unfinishedItems().size());
+        assertEquals(0, progress.nextItem(LATER));
+    }
+
     @Test
     void runsSuspendedItemBeforeOneThatHasNotStarted() {
         JobProgress progress = progress(3);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
@@ -23,7 +23,7 @@
     private static final long MS_TO_END_TARGET = 100;
     private static final long PEER_DELAY_MS = 80;
     private static final long STORE_DELAY_MS = 600;
-    private static final long TELL_INTERVAL_MS = 50;
+    private static final long REPORT_INTERVAL_MS = 50;
 
     private record Running(int host, PromptParts parts, long startedAt, boolean bad) {}
 
@@ -82,7 +82,7 @@
         for (String target : List.copyOf(mTargets.keySet())) {
             advance(target);
         }
-        if (mNow % TELL_INTERVAL_MS == 0) {
+        if (mNow % REPORT_INTERVAL_MS == 0) {
             for (int i = 0; i < mHosts.size(); i++) {
                 review(i);
             }
@@ -136,7 +136,7 @@
     private void review(int index) {
         Host host = mHosts.get(index);
         host.mSuspects
-                .successesToTell()
+                .successesToReport()
                 .forEach(
                         (part, count) ->
                                 toPeers(
@@ -147,7 +147,7 @@
                                                         SERVICE,
                                                         part.label(),
                                                         count)));
-        for (Suspect found : host.mSuspects.findGuilty(nanos(), host.mQuarantine::contains)) {
+        for (Suspect found : host.mSuspects.findCauses(nanos(), host.mQuarantine::contains)) {
             PromptQuarantine.Entry entry = PromptQuarantine.Entry.startingAt(found, mNow);
             host.mQuarantine.add(entry);
             for (Host other : mHosts) {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
@@ -112,7 +112,7 @@
             suspects.recordPeerSuccesses("h", "s", "p" + i, 1);
         }
         long later = TimeUnit.SECONDS.toNanos(1);
-        assertEquals(Set.of(), suspects.findGuilty(later, suspect -> false));
-        assertTrue(suspects.successesToTell().size() <= 64);
+        assertEquals(Set.of(), suspects.findCauses(later, suspect -> false));
+        assertTrue(suspects.successesToReport().size() <= 64);
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -53,8 +53,8 @@
     private final PromptQuarantineStore mQuarantineStore;
     private final PromptSuspects mSuspects;
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
-    private final List<TargetEnd> mEndsToTell = new ArrayList<>();
-    private final List<PromptQuarantine.Entry> mEntriesToTell = new ArrayList<>();
+    private final List<TargetEnd> mUnreportedEnds = new ArrayList<>();
+    private final List<PromptQuarantine.Entry> mUnreportedEntries = new ArrayList<>();
     private final long mStartedAt;
     private long mLastEvidenceAt;
     private boolean mReviewScheduled;
@@ -149,7 +149,7 @@
             }
         }
         mSuspects.recordEnd(end, mTicker.nanoTime());
-        mEndsToTell.add(end);
+        mUnreportedEnds.add(end);
         scheduleReview();
     }
 
@@ -163,13 +163,13 @@
 
     private void review() {
         long now = mTicker.nanoTime();
-        for (Suspect suspect : mSuspects.findGuilty(now, mQuarantine::contains)) {
+        for (Suspect suspect : mSuspects.findCauses(now, mQuarantine::contains)) {
             PromptQuarantine.Entry entry =
                     PromptQuarantine.Entry.startingAt(suspect, System.currentTimeMillis());
             mQuarantine.add(entry);
             announce(entry, "started");
         }
-        tellPeers();
+        sendEvidence();
         mReviewScheduled = now - mLastEvidenceAt < REVIEW_NANOS;
         if (mReviewScheduled) {
             mVertx.setTimer(REVIEW_INTERVAL_MS, t -> review());
@@ -184,24 +184,24 @@
                 entry.untilMs(),
                 outcome);
         mQuarantineStore.put(entry);
-        mEntriesToTell.add(entry);
+        mUnreportedEntries.add(entry);
         scheduleReview();
     }
 
-    private void tellPeers() {
+    private void sendEvidence() {
         List<TargetEndReport> ends = new ArrayList<>();
-        mEndsToTell.forEach(end -> ends.add(PromptMessages.encode(end)));
-        mEndsToTell.clear();
+        mUnreportedEnds.forEach(end -> ends.add(PromptMessages.encode(end)));
+        mUnreportedEnds.clear();
         List<PromptSuccesses> successes = new ArrayList<>();
         mSuspects
-                .successesToTell()
+                .successesToReport()
                 .forEach(
                         (part, count) ->
                                 successes.add(
                                         new PromptSuccesses(part.service(), part.label(), count)));
         List<PromptQuarantineEntry> entries = new ArrayList<>();
-        mEntriesToTell.forEach(entry -> entries.add(PromptMessages.encode(entry)));
-        mEntriesToTell.clear();
+        mUnreportedEntries.forEach(entry -> entries.add(PromptMessages.encode(entry)));
+        mUnreportedEntries.clear();
         if (ends.isEmpty() && successes.isEmpty() && entries.isEmpty()) {
             return;
         }
@@ -256,7 +256,7 @@
                     entry.suspect().service(),
                     source,
                     entry.untilMs());
-            mQuarantineStore.put(entry);
+            mQuarantineStore.putLater(entry);
         }
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -31,7 +32,7 @@
 final class PromptQuarantineStore implements StoreMirror.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(PromptQuarantineStore.class);
 
-    /** Hosts find the same parts at the same time; the delay lets the first write be seen. */
+    /** Time in which the host that identified a part has written its entry. */
     private static final long MAX_WRITE_DELAY_MS = 400;
 
     private static final long RETRY_DELAY_MS = 1_000;
@@ -72,13 +73,14 @@
         return mListed;
     }
 
-    /** Writes an entry, unless the store holds one as new. */
-    void put(PromptQuarantine.Entry entry) {
+    /** Writes an entry later, unless the store holds it by then; for entries of peers. */
+    void putLater(PromptQuarantine.Entry entry) {
         long delay = 1 + ThreadLocalRandom.current().nextLong(MAX_WRITE_DELAY_MS);
-        mVertx.setTimer(delay, t -> write(entry));
+        mVertx.setTimer(delay, t -> put(entry));
     }
 
-    private void write(PromptQuarantine.Entry entry) {
+    /** Writes an entry, unless the store holds one as new. */
+    void put(PromptQuarantine.Entry entry) {
         String key = key(entry.suspect());
         Stored stored = mStored.get(key);
         if (stored != null && stored.entry().untilMs() >= entry.untilMs()) {
@@ -95,7 +97,7 @@
                                     "step=prompt-quarantine prompt={} outcome=not-stored cause={}",
                                     entry.suspect().label(),
                                     e.getMessage());
-                            mVertx.setTimer(RETRY_DELAY_MS, t -> write(entry));
+                            mVertx.setTimer(RETRY_DELAY_MS, t -> put(entry));
                         });
     }
 
@@ -113,7 +115,7 @@
     private static String encode(PromptQuarantine.Entry entry) {
         return new JsonObject()
                 .put("service", entry.suspect().service())
-                .put("parts", new JsonArray(java.util.List.copyOf(entry.suspect().parts())))
+                .put("parts", new JsonArray(List.copyOf(entry.suspect().parts())))
                 .put("since_ms", entry.sinceMs())
                 .put("until_ms", entry.untilMs())
                 .encode();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.prompt;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -7,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.sesamepin.core.prompt.PromptParts;
@@ -28,6 +30,20 @@
 
     private static final int CONNECT_TIMEOUT_MS = 300;
 
+    /** What a connection attempt says about a target that closed its connections. */
+    private enum Outcome {
+        /** The target refuses connections. */
+        ENDED,
+        /** The target accepts connections. */
+        REACHABLE,
+        /** Nothing answers, which a cut network path explains as well. */
+        UNKNOWN;
+
+        private String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
     private final Vertx mVertx;
     private final NetClient mClient;
     private final Consumer<TargetEnd> mOnEnd;
@@ -57,17 +73,16 @@
                 .onSuccess(
                         socket -> {
                             socket.close();
-                            finish(target, "reachable");
+                            finish(target, Outcome.REACHABLE);
                         })
-                .onFailure(e -> finish(target, isRefusal(e) ? "ended" : "unknown"));
+                .onFailure(e -> finish(target, isRefusal(e) ? Outcome.ENDED : Outcome.UNKNOWN));
     }
 
     private static boolean isRefusal(Throwable e) {
-        return e instanceof ConnectException
-                && !(e instanceof io.netty.channel.ConnectTimeoutException);
+        return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
     }
 
-    private void finish(TargetInstance target, String outcome) {
+    private void finish(TargetInstance target, Outcome outcome) {
         List<TargetEnd.Run> runs = mLostRuns.remove(target.incarnation());
         if (runs == null) {
             return;
@@ -79,8 +94,8 @@
                 end.service(),
                 runs.size(),
                 runs.stream().map(run -> run.parts().label()).distinct().toList(),
-                outcome);
-        if (outcome.equals("ended")) {
+                outcome.label());
+        if (outcome == Outcome.ENDED) {
             mOnEnd.accept(end);
         }
     }
