Judge only prompt parts that several ends have in common

A review compared each part under an end with each other: with 64 ends of 64 requests of 16 parts of their own it took long on the event loop, which callers could bring about. Parts of fewer than three ends cannot be identified and are left out first; the new test bounds a review at one second.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -51,6 +51,7 @@
 
     private static final int MAX_ENDS = 64;
     private static final int MAX_RUNS_PER_END = 64;
+    private static final int MAX_CANDIDATES = 256;
     private static final int MAX_PEER_COUNTS = 1_024;
 
     private record SeenEnd(TargetEnd end, long seenAt) {}
@@ -191,10 +192,8 @@
      * targets ended.
      */
     private List<Score> scores(String service, List<SeenEnd> ends) {
-        Set<String> parts = new TreeSet<>();
-        ends.forEach(seen -> parts.addAll(seen.end().parts()));
         List<Score> scores = new ArrayList<>();
-        for (String part : parts) {
+        for (String part : partsOfSeveral(ends)) {
             Score score = score(part, ends);
             boolean comparable =
                     !isCommon(part, ends)
@@ -206,6 +205,21 @@
         return scores;
     }
 
+    /** Returns the parts that enough ends have in common to identify one of them. */
+    private static List<String> partsOfSeveral(List<SeenEnd> ends) {
+        Map<String, Integer> endsByPart = new TreeMap<>();
+        ends.forEach(
+                seen ->
+                        seen.end()
+                                .parts()
+                                .forEach(part -> endsByPart.merge(part, 1, Integer::sum)));
+        return endsByPart.entrySet().stream()
+                .filter(entry -> entry.getValue() >= MIN_SCORE)
+                .map(Map.Entry::getKey)
+                .limit(MAX_CANDIDATES)
+                .toList();
+    }
+
     private static boolean isCommon(String part, List<SeenEnd> ends) {
         int all = 0;
         int having = 0;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
@@ -1,11 +1,15 @@
 package org.sesamepin.core.prompt;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -101,6 +105,23 @@
         assertEquals(0, load.soundBlocked());
     }
 
+    @Test
+    void aReviewOfManyDifferentPartsIsQuick() {
+        PromptSuspects suspects = new PromptSuspects(0);
+        for (int end = 0; end < 64; end++) {
+            List<TargetEnd.Run> runs = new ArrayList<>();
+            for (int run = 0; run < 64; run++) {
+                String prefix = "e" + end + "r" + run + "p";
+                List<String> parts = IntStream.range(0, 16).mapToObj(i -> prefix + i).toList();
+                runs.add(TargetEnd.Run.afterEvents(new PromptParts(parts), 0));
+            }
+            suspects.recordEnd(new TargetEnd("s", "t" + end, runs), 0);
+        }
+        assertTimeout(
+                Duration.ofSeconds(1),
+                () -> suspects.findCauses(TimeUnit.SECONDS.toNanos(1), suspect -> false));
+    }
+
     @Test
     void memoryIsBoundedForAnyNumberOfParts() {
         PromptSuspects suspects = new PromptSuspects(0);
