Hand a service's coordination over when a host starts to drain

The stopping host had left the registered hosts, so the others chose another coordinator, but it went on placing its own requests itself: two hosts gave out the same limit. A draining host is no candidate any more, and asks the new coordinator. The test fails without the change: half of the services stayed here.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorLookup.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CoordinatorLookup.java
@@ -82,7 +82,10 @@
     private String findCoordinator(String service) {
         Set<String> candidates = CoordinatorCandidates.select(mPeers.coresByHost());
         Set<String> reachable = new HashSet<>();
-        reachable.add(mPeers.self());
+        // The peers choose another coordinator as soon as this host has left the registered hosts.
+        if (!mState.isDraining()) {
+            reachable.add(mPeers.self());
+        }
         mPeers.reachable().stream()
                 .map(PeerTable.Peer::name)
                 .filter(name -> !isSuspect(name))
