Test that items of a bad prompt stay open over sockets, while the others complete

Only the core's part of this was tested before (JobProgressTest). The test passes on the code as it is: after three ends no further item with the part reaches a target, and the three sound items of the same job are complete.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -13,10 +13,13 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.job.JobItem;
+import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.serving.ConnectionLimits;
 import org.sesamepin.core.serving.RouteKind;
 import org.sesamepin.core.serving.ServiceShare;
@@ -24,6 +27,7 @@
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.node.job.JobRequestHandler;
 import org.sesamepin.node.job.MemoryStore;
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreListing;
@@ -39,6 +43,7 @@
     private final Vertx mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final MemoryStore mStore = new MemoryStore();
     private final StandInTargets mTargets;
+    private final ServingRoute mBatchRoute = newRoute("b", RouteKind.BATCH);
     private final ServingConfig mConfig;
     private final List<ServingNode> mNodes = new ArrayList<>();
     private final List<Integer> mPorts = new ArrayList<>();
@@ -57,31 +62,58 @@
      */
     LoopbackFleet(RouteKind kind, Set<String> badParts, int slots) {
         mTargets = new StandInTargets(mVertx, mStore, badParts);
-        ServingRoute route =
-                new ServingRoute(
-                        "r",
-                        "h",
-                        "/",
-                        kind,
-                        5_000,
-                        300,
-                        1,
-                        List.of(new ServiceShare(StandInTargets.SERVICE, 1)),
-                        3,
-                        true,
-                        300,
-                        0,
-                        0,
-                        0);
         mConfig =
                 new ServingConfig(
                         1,
-                        List.of(route),
+                        List.of(newRoute("r", kind), mBatchRoute),
                         List.of(new ServiceSpec(StandInTargets.SERVICE, slots)),
                         null,
                         ConnectionLimits.DEFAULT);
     }
 
+    private static ServingRoute newRoute(String name, RouteKind kind) {
+        String prefix = kind == RouteKind.BATCH ? "/batch/" : "/";
+        return new ServingRoute(
+                name,
+                "h",
+                prefix,
+                kind,
+                5_000,
+                300,
+                1,
+                List.of(new ServiceShare(StandInTargets.SERVICE, 1)),
+                3,
+                true,
+                300,
+                0,
+                0,
+                0);
+    }
+
+    /** Lets a node accept a job of one item for each of {@code parts}, the part of its prompt. */
+    void submitJob(int node, String jobId, List<String> parts) throws Exception {
+        List<JobItem> items = new ArrayList<>();
+        for (int i = 0; i < parts.size(); i++) {
+            Map<String, String> headers = Map.of("Part", parts.get(i));
+            items.add(new JobItem(jobId + i, "/batch/x", headers, new byte[] {1}, 1));
+        }
+        onLoop(() -> mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items));
+    }
+
+    /** Returns the published results of a job. */
+    List<JobResult> results(int node, String jobId) throws Exception {
+        return onLoop(
+                () -> {
+                    JobRequestHandler jobs = mNodes.get(node).jobs();
+                    return jobs.findSummary(jobId)
+                            .compose(
+                                    summary ->
+                                            jobs.readResults(
+                                                    jobId, Objects.requireNonNull(summary), 0, 0))
+                            .map(JobRequestHandler.Page::results);
+                });
+    }
+
     /** Starts the targets and the nodes, and waits until the nodes know all targets. */
     void start(int nodes, int targets) throws Exception {
         onLoop(
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -39,6 +39,11 @@
 
     /** Starts the load; returns the timer that sends the bad requests. */
     private long startLoad(LoopbackFleet fleet, List<String> badParts) {
+        AtomicInteger sent = startSoundLoad(fleet);
+        return fleet.vertx().setPeriodic(90, t -> fleet.send(sent.get() % NODES, badParts));
+    }
+
+    private AtomicInteger startSoundLoad(LoopbackFleet fleet) {
         AtomicInteger sent = new AtomicInteger();
         fleet.vertx()
                 .setPeriodic(
@@ -50,7 +55,7 @@
                             fleet.send(n % NODES, parts)
                                     .onSuccess(s -> mSoundServed.addAndGet(s == 200 ? 1 : 0));
                         });
-        return fleet.vertx().setPeriodic(90, t -> fleet.send(sent.get() % NODES, badParts));
+        return sent;
     }
 
     @ParameterizedTest
@@ -102,6 +107,21 @@
         }
     }
 
+    @Test
+    void itemsWithThemStayOpenAndOthersComplete() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of(BAD))) {
+            fleet.start(NODES, TARGETS);
+            onLoop(fleet, () -> startSoundLoad(fleet));
+            fleet.submitJob(0, "job", List.of("first", BAD, "first", BAD, "first", BAD));
+            Thread.sleep(LEARNING_WINDOW_MS);
+            int before = onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size());
+            Thread.sleep(LEARNING_WINDOW_MS);
+            int after = onLoopGet(fleet, () -> fleet.targets().badArrivalNanos().size());
+            assertTrue(after - before <= MAX_ARRIVALS_AFTERWARDS, before + " and then " + after);
+            assertEquals(3, fleet.results(0, "job").size());
+        }
+    }
+
     /** Sends sound and bad requests until all nodes refuse the bad ones. */
     private void learn(LoopbackFleet fleet) throws Exception {
         long timer = onLoopGet(fleet, () -> startLoad(fleet, List.of("first", BAD)));
