Store a quarantine again when another host has written first

Seen by reading: the result of the conditional write was not looked at. Where another host had written an older entry that this host had not read yet, the newer one, of a probe that ended a target, was never stored; hosts that started later would probe again at once. And a write that failed was repeated even after the entry had been lifted, which would have brought it back for all hosts.

Now a write that did not take effect is repeated once the mirror shows what the store holds, and only while the entry is in force. Both cases are tested against the store in memory; the tests were written with the change and not run on the former code.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -89,6 +89,11 @@
         return mEntries.containsKey(suspect);
     }
 
+    /** Returns whether {@code entry} is in force and was not prolonged or lifted since. */
+    public boolean isInForce(Entry entry) {
+        return entry.equals(mEntries.get(entry.suspect()));
+    }
+
     /** Returns all entries. */
     public Collection<Entry> entries() {
         return List.copyOf(mEntries.values());
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -188,8 +188,8 @@
     }
 
     /**
-     * Returns the scores of the parts that can be judged and were not completed more often than
-     * targets ended.
+     * Returns the scores of the parts that can be compared with others and were not completed more
+     * often than targets ended.
      */
     private List<Score> scores(String service, List<SeenEnd> ends) {
         List<Score> scores = new ArrayList<>();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -82,7 +82,11 @@
         mDetector = new TargetEndDetector(vertx, this::onTargetEnd);
         mQuarantineStore =
                 new PromptQuarantineStore(
-                        vertx, store, entry -> adopt(entry, "store"), this::onRemoved);
+                        vertx,
+                        store,
+                        entry -> adopt(entry, "store"),
+                        this::lift,
+                        mQuarantine::isInForce);
     }
 
     /** Returns the listener that reads the quarantine from the store. */
@@ -100,7 +104,7 @@
 
     /**
      * Returns the quarantine that forbids to send a request to {@code service}, or null. A request
-     * that is chosen as a probe is not forbidden, each time that it is asked about.
+     * that is the probe is not forbidden; the answer is the same at each check.
      */
     public PromptQuarantine.@Nullable Entry blocking(
             String service, PromptParts prompt, String requestId) {
@@ -260,10 +264,6 @@
         }
     }
 
-    private void onRemoved(Suspect suspect) {
-        lift(suspect);
-    }
-
     private void lift(Suspect suspect) {
         if (mQuarantine.lift(suspect)) {
             LOG.warn(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.Suspect;
@@ -44,6 +45,7 @@
     private final WatchableStore mStore;
     private final Consumer<PromptQuarantine.Entry> mOnEntry;
     private final Consumer<Suspect> mOnRemoved;
+    private final Predicate<PromptQuarantine.Entry> mIsInForce;
     private final Map<String, Stored> mStored = new HashMap<>();
     private boolean mListed;
 
@@ -52,16 +54,19 @@
      *
      * @param onEntry receives each entry that is read
      * @param onRemoved receives the suspect of each entry that is gone
+     * @param isInForce whether an entry is still to be stored
      */
     PromptQuarantineStore(
             Vertx vertx,
             WatchableStore store,
             Consumer<PromptQuarantine.Entry> onEntry,
-            Consumer<Suspect> onRemoved) {
+            Consumer<Suspect> onRemoved,
+            Predicate<PromptQuarantine.Entry> isInForce) {
         mVertx = vertx;
         mStore = store;
         mOnEntry = onEntry;
         mOnRemoved = onRemoved;
+        mIsInForce = isInForce;
     }
 
     private static String key(Suspect suspect) {
@@ -83,7 +88,8 @@
     void put(PromptQuarantine.Entry entry) {
         String key = key(entry.suspect());
         Stored stored = mStored.get(key);
-        if (stored != null && stored.entry().untilMs() >= entry.untilMs()) {
+        boolean isStored = stored != null && stored.entry().untilMs() >= entry.untilMs();
+        if (isStored || !mIsInForce.test(entry)) {
             return;
         }
         StoreTransaction transaction =
@@ -91,14 +97,22 @@
                         .ifUnchanged(key, stored == null ? 0 : stored.revision())
                         .put(key, encode(entry));
         mStore.commit(transaction)
-                .onFailure(
-                        e -> {
-                            LOG.warn(
-                                    "step=prompt-quarantine prompt={} outcome=not-stored cause={}",
-                                    entry.suspect().label(),
-                                    e.getMessage());
-                            mVertx.setTimer(RETRY_DELAY_MS, t -> put(entry));
-                        });
+                .onSuccess(
+                        result -> {
+                            if (!result.committed()) {
+                                retry(entry, "another host has written it");
+                            }
+                        })
+                .onFailure(e -> retry(entry, e.getMessage()));
+    }
+
+    /** Writes an entry again after a while; by then the mirror shows what other hosts wrote. */
+    private void retry(PromptQuarantine.Entry entry, @Nullable String cause) {
+        LOG.warn(
+                "step=prompt-quarantine prompt={} outcome=not-stored cause={}",
+                entry.suspect().label(),
+                cause);
+        mVertx.setTimer(RETRY_DELAY_MS, t -> put(entry));
     }
 
     /** Removes the entry of {@code suspect}, if the store holds one. */
