--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
@@ -16,8 +16,12 @@
     /** The prompt of a request that names no parts. */
     public static final PromptParts NONE = new PromptParts(List.of());
 
+    /** Prefix of the part that stands for the whole content of a request. */
+    private static final String WHOLE_PREFIX = "whole:";
+
     private static final int MAX_PARTS = 16;
     private static final int MAX_ID_CHARS = 64;
+    private static final int WHOLE_DIGEST_CHARS = 48;
 
     /** Copies the list. */
     public PromptParts {
@@ -26,16 +30,37 @@
 
     /**
      * Returns parts of bounded number and length for ids that a caller has sent: the first 16, with
-     * an id of more than 64 characters replaced by its digest.
+     * an id of more than 64 characters, or one that looks like {@link #ofContent}'s, replaced by
+     * its digest.
      */
     public static PromptParts ofCallerIds(List<String> ids) {
         List<String> bounded = new ArrayList<>();
         for (String id : ids.subList(0, Math.min(ids.size(), MAX_PARTS))) {
-            bounded.add(id.length() <= MAX_ID_CHARS ? id : digest(id));
+            boolean usable = id.length() <= MAX_ID_CHARS && !isWhole(id);
+            bounded.add(usable ? id : digest(id));
         }
         return new PromptParts(bounded);
     }
 
+    /**
+     * Returns the parts of a request whose caller names none: the digests of the first 15 of its
+     * texts, such as the messages of a conversation, and one of the whole content.
+     */
+    public static PromptParts ofContent(List<String> texts) {
+        int named = Math.min(texts.size(), MAX_PARTS - 1);
+        List<String> parts = new ArrayList<>();
+        texts.subList(0, named).forEach(text -> parts.add(digest(text)));
+        String rest = digest(String.join("\n", texts.subList(named, texts.size())));
+        String whole = digest(String.join("\n", parts) + rest);
+        parts.add(WHOLE_PREFIX + whole.substring(0, WHOLE_DIGEST_CHARS));
+        return new PromptParts(parts);
+    }
+
+    /** Returns whether a part stands for the whole content of a request. */
+    static boolean isWhole(String id) {
+        return id.startsWith(WHOLE_PREFIX);
+    }
+
     private static String digest(String id) {
         byte[] bytes = id.getBytes(StandardCharsets.UTF_8);
         return HexFormat.of().formatHex(KeyDigest.sha256().digest(bytes));
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -94,6 +94,11 @@
         return entry.equals(mEntries.get(entry.suspect()));
     }
 
+    /** Returns the number of entries. */
+    public int size() {
+        return mEntries.size();
+    }
+
     /** Returns all entries. */
     public Collection<Entry> entries() {
         return List.copyOf(mEntries.values());
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -49,6 +49,9 @@
     /** Time in which the peers' successes with the parts of an end arrive. */
     private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+    /** Time in which all hosts report one end of a target; shorter than a target needs to start. */
+    private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private static final int MAX_ENDS = 64;
     private static final int MAX_RUNS_PER_END = 64;
     private static final int MAX_CANDIDATES = 256;
@@ -63,9 +66,20 @@
     private final SuccessCounts mOwnSuccesses;
     private final Map<String, Map<String, Integer>> mPeerSuccesses = new HashMap<>();
     private final Map<String, Integer> mLastReported = new HashMap<>();
+    private final TargetIdentity mIdentity;
+    private long mEndsOfNames;
+
+    /** What identifies the targets whose ends are recorded. */
+    public enum TargetIdentity {
+        /** An id that a target never has again after its end. */
+        INCARNATION,
+        /** A name that a target keeps when it starts again, so that it can end several times. */
+        NAME
+    }
 
     /** Creates a record without ends. */
-    public PromptSuspects(long now) {
+    public PromptSuspects(TargetIdentity identity, long now) {
+        mIdentity = identity;
         mOwnSuccesses = new SuccessCounts(now);
     }
 
@@ -91,7 +105,8 @@
     /** Records the end of a target that a host has seen; reports of several hosts are joined. */
     public void recordEnd(TargetEnd end, long now) {
         dropOld(now);
-        SeenEnd seen = mEnds.get(end.target());
+        String key = keyOf(end, now);
+        SeenEnd seen = mEnds.get(key);
         List<TargetEnd.Run> runs = new ArrayList<>(end.runs());
         if (seen != null) {
             runs.addAll(seen.end().runs());
@@ -99,8 +114,23 @@
         if (runs.size() > MAX_RUNS_PER_END) {
             runs = runs.subList(0, MAX_RUNS_PER_END);
         }
-        TargetEnd joined = new TargetEnd(end.service(), end.target(), runs);
-        mEnds.put(end.target(), new SeenEnd(joined, seen == null ? now : seen.seenAt()));
+        TargetEnd joined = new TargetEnd(end.service(), key, runs);
+        mEnds.put(key, new SeenEnd(joined, seen == null ? now : seen.seenAt()));
+    }
+
+    /** Returns a key that is the same for all reports of one end of a target. */
+    private String keyOf(TargetEnd end, long now) {
+        if (mIdentity == TargetIdentity.INCARNATION) {
+            return end.target();
+        }
+        String prefix = end.target() + '#';
+        for (Map.Entry<String, SeenEnd> entry : mEnds.entrySet()) {
+            boolean sameEnd = now - entry.getValue().seenAt() <= REPORT_NANOS;
+            if (sameEnd && entry.getKey().startsWith(prefix)) {
+                return entry.getKey();
+            }
+        }
+        return prefix + mEndsOfNames++;
     }
 
     private void dropOld(long now) {
@@ -196,7 +226,8 @@
         for (String part : partsOfSeveral(ends)) {
             Score score = score(part, ends);
             boolean comparable =
-                    !isCommon(part, ends)
+                    PromptParts.isWhole(part)
+                            || !isCommon(part, ends)
                             || successes(service, ANY_PART) >= MIN_ANSWERS_PER_END * score.sum();
             if (comparable && score.sum() >= successes(service, part)) {
                 scores.add(score);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
@@ -30,7 +30,8 @@
     private record Message(long arrivesAt, Runnable delivery) {}
 
     private final class Host {
-        private final PromptSuspects mSuspects = new PromptSuspects(0);
+        private final PromptSuspects mSuspects =
+                new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
         private final PromptQuarantine mQuarantine = new PromptQuarantine();
     }
 
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.core.prompt;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -107,7 +108,7 @@
 
     @Test
     void aReviewOfManyDifferentPartsIsQuick() {
-        PromptSuspects suspects = new PromptSuspects(0);
+        PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
         for (int end = 0; end < 64; end++) {
             List<TargetEnd.Run> runs = new ArrayList<>();
             for (int run = 0; run < 64; run++) {
@@ -124,7 +125,7 @@
 
     @Test
     void memoryIsBoundedForAnyNumberOfParts() {
-        PromptSuspects suspects = new PromptSuspects(0);
+        PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
         for (int i = 0; i < 200_000; i++) {
             PromptParts prompt = new PromptParts(List.of("p" + i));
             suspects.recordSuccess("s", prompt, i);
@@ -136,4 +137,37 @@
         assertEquals(Set.of(), suspects.findCauses(later, suspect -> false));
         assertTrue(suspects.successesToReport().size() <= 64);
     }
+
+    /** Records the ends of three engines, one each second, which two hosts report. */
+    private static PromptSuspects endsOfNamedTargets(PromptParts prompt, long reportDelayMs) {
+        PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.NAME, 0);
+        for (int second = 1; second <= 3; second++) {
+            TargetEnd end =
+                    new TargetEnd("s", "engine", List.of(TargetEnd.Run.afterEvents(prompt, 0)));
+            suspects.recordEnd(end, TimeUnit.SECONDS.toNanos(second));
+            suspects.recordEnd(end, TimeUnit.MILLISECONDS.toNanos(second * 1_000 + reportDelayMs));
+        }
+        return suspects;
+    }
+
+    @Test
+    void aTargetKnownByNameCountsForEachOfItsEnds() {
+        PromptSuspects suspects = endsOfNamedTargets(PromptParts.ofContent(List.of("a")), 100);
+        assertEquals(1, suspects.findCauses(TimeUnit.SECONDS.toNanos(4), s -> false).size());
+        assertEquals(
+                Set.of(), suspects.findCauses(TimeUnit.MILLISECONDS.toNanos(2_900), s -> false));
+    }
+
+    @Test
+    void aPartOfAllPromptsIsNotFoundWithoutAnswersToCompareWith() {
+        PromptSuspects suspects = endsOfNamedTargets(new PromptParts(List.of("first")), 100);
+        assertEquals(Set.of(), suspects.findCauses(TimeUnit.SECONDS.toNanos(4), s -> false));
+    }
+
+    @Test
+    void callersCannotNameAPartThatStandsForTheWholeContent() {
+        String whole = PromptParts.ofContent(List.of("a")).shared().get(1);
+        assertTrue(PromptParts.isWhole(whole));
+        assertFalse(PromptParts.isWhole(PromptParts.ofCallerIds(List.of(whole)).shared().get(0)));
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -6,10 +6,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
@@ -30,8 +27,11 @@
 import org.sesamepin.node.fleet.BundleManager;
 import org.sesamepin.node.fleet.FleetView;
 import org.sesamepin.node.fleet.HeartbeatService;
+import org.sesamepin.node.fleet.HostListWatcher;
 import org.sesamepin.node.fleet.HostRecord;
 import org.sesamepin.node.fleet.KeyFreshness;
+import org.sesamepin.node.fleet.LiveHosts;
+import org.sesamepin.node.fleet.StoreKeys;
 import org.sesamepin.node.fleet.StorePoller;
 import org.sesamepin.node.limit.RateLimiter;
 import org.sesamepin.node.online.ActiveRequestRegistry;
@@ -42,7 +42,12 @@
 import org.sesamepin.node.online.TargetChooser;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.PeerServer;
+import org.sesamepin.node.peer.generated.Done;
 import org.sesamepin.node.peer.generated.HostState;
+import org.sesamepin.node.peer.generated.PeerReply;
+import org.sesamepin.node.peer.generated.PeerRequest;
+import org.sesamepin.node.prompt.QuarantineStorage;
+import org.sesamepin.node.prompt.SharedPromptGuard;
 import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.slot.SlotService;
 import org.sesamepin.node.slot.TargetHealth;
@@ -60,7 +65,6 @@
 public final class Node implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long START_TIMEOUT_SECONDS = 20;
-    private static final long HOST_LIST_POLL_MS = 1_000;
     private static final long DRAIN_CHECK_MS = 50;
 
     private final Vertx mVertx;
@@ -83,6 +87,7 @@
     private final RateLimiter mLimiter;
     private final SlotService mSlots;
     private final TargetChooser mChooser;
+    private final SharedPromptGuard mPromptGuard;
     private final BatchRunner mBatchRunner;
     private final JobService mJobs;
     private final StorePoller mPoller;
@@ -119,12 +124,9 @@
                         mHealth,
                         RoutingPolicy.TWO_CHOICES,
                         settings.failureDomain());
+        mPromptGuard = mCloser.add(createPromptGuard());
         TargetClient client = mCloser.add(new TargetClient(vertx));
-        mBatchRunner =
-                mCloser.add(
-                        new BatchRunner(
-                                vertx, mTicker, mFleet, mBundles, mSlots, mHealth, client, mPeers,
-                                mPlugins, mMetrics));
+        mBatchRunner = mCloser.add(createBatchRunner(client));
         JobStore jobStore = new JobStore(mStore);
         mJobs =
                 mCloser.add(
@@ -147,11 +149,36 @@
                                 mShareLease,
                                 mFleet,
                                 mBundles,
-                                this::record));
+                                this::record,
+                                mPromptGuard::onListing));
         mOnlineContext = createOnlineContext(client);
         mBatchApi = createBatchApi(jobStore);
     }
 
+    private BatchRunner createBatchRunner(TargetClient client) {
+        return new BatchRunner(
+                mVertx,
+                mTicker,
+                mFleet,
+                mBundles,
+                mSlots,
+                mHealth,
+                client,
+                mPeers,
+                mPlugins,
+                mPromptGuard,
+                mMetrics);
+    }
+
+    private SharedPromptGuard createPromptGuard() {
+        return new SharedPromptGuard(
+                mVertx,
+                mTicker,
+                new LiveHosts(mFleet),
+                mPeers,
+                new QuarantineStorage(StoreKeys.PROMPT_QUARANTINE_PREFIX, mStore::commit));
+    }
+
     private OnlineContext createOnlineContext(TargetClient client) {
         return new OnlineContext(
                 mVertx,
@@ -163,6 +190,7 @@
                 mSlots,
                 mHealth,
                 client,
+                mPromptGuard,
                 mPlugins,
                 mMetrics);
     }
@@ -222,6 +250,7 @@
         mLimiter.registerHandlers(server);
         mSlots.registerHandlers(server);
         mJobs.registerHandlers(server);
+        server.registerHandler(PeerRequest._Fields.PROMPT_EVIDENCE, this::handlePromptEvidence);
         AdminServer admin =
                 mCloser.add(
                         new AdminServer(
@@ -289,26 +318,7 @@
                 mCloser.add(
                         factory.open(
                                 mVertx, mSettings.hostListAddress(), mSettings.storeTimeoutMs()));
-        long timer =
-                mVertx.setPeriodic(
-                        0, HOST_LIST_POLL_MS, t -> list.read().onSuccess(this::onHostList));
-        mCloser.add(() -> mVertx.cancelTimer(timer));
-    }
-
-    private void onHostList(Map<String, HostList.State> hosts) {
-        Set<String> leaving =
-                hosts.entrySet().stream()
-                        .filter(e -> e.getValue() == HostList.State.LEAVING)
-                        .map(Map.Entry::getKey)
-                        .collect(Collectors.toSet());
-        mHealth.setLeavingHosts(leaving);
-        if (hosts.containsKey(mSettings.host())) {
-            Set<String> removed =
-                    mShareLease.assignment().hosts().stream()
-                            .filter(h -> !hosts.containsKey(h))
-                            .collect(Collectors.toSet());
-            mShareLease.setRemovedHosts(removed);
-        }
+        mCloser.add(new HostListWatcher(mVertx, list, mSettings.host(), mHealth, mShareLease));
     }
 
     private void afterHeartbeats() {
@@ -360,6 +370,11 @@
         return mShareLease.fraction() > 0 ? "" : "waiting for a share of the customers' rates";
     }
 
+    private Future<PeerReply> handlePromptEvidence(PeerRequest request) {
+        mPromptGuard.recordEvidence(request.getPromptEvidence());
+        return Future.succeededFuture(PeerReply.done(new Done()));
+    }
+
     private void registerGauges() {
         mMetrics.registerGauge(
                 "sesamepin_bundle_version",
@@ -375,6 +390,14 @@
                 "sesamepin_rate_share", "Own share of the rates.", mShareLease::fraction);
         mMetrics.registerGauge(
                 "sesamepin_batch_running", "Batch items that run.", mBatchRunner::runningItemCount);
+        mMetrics.registerGauge(
+                "sesamepin_prompts_quarantined",
+                "Prompt parts that are not sent to targets.",
+                mPromptGuard::quarantineCount);
+        mMetrics.registerGauge(
+                "sesamepin_target_ends",
+                "Targets that ended under requests of this host.",
+                mPromptGuard::endCount);
         mMetrics.registerGauge("sesamepin_jobs_owned", "Jobs owned.", mJobs::ownedJobCount);
         mMetrics.registerGauge(
                 "sesamepin_requests_running", "Online requests.", mActiveRequests::size);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -20,11 +20,14 @@
 import org.sesamepin.core.bundle.Model;
 import org.sesamepin.core.bundle.Target;
 import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.slot.SlotAllocator;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.admin.NodeMetrics;
 import org.sesamepin.node.fleet.BundleManager;
 import org.sesamepin.node.fleet.FleetView;
+import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.generated.BatchItem;
@@ -33,6 +36,11 @@
 import org.sesamepin.node.peer.generated.ItemRenewal;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.PullItems;
+import org.sesamepin.node.prompt.CompletionPrompt;
+import org.sesamepin.node.prompt.LostConnections;
+import org.sesamepin.node.prompt.LostTarget;
+import org.sesamepin.node.prompt.QuarantineProblems;
+import org.sesamepin.node.prompt.SharedPromptGuard;
 import org.sesamepin.node.slot.SlotService;
 import org.sesamepin.node.slot.TargetHealth;
 import org.sesamepin.node.spi.PluginRegistry;
@@ -65,6 +73,7 @@
     private static final class RunningItem {
         private final BatchItem mItem;
         private final Target mTarget;
+        private final PromptParts mPrompt;
         private final long mSlotId;
         private volatile @Nullable HttpClientRequest mRequest;
         private volatile boolean mEnded;
@@ -72,6 +81,7 @@
         RunningItem(BatchItem item, Target target, long slotId) {
             mItem = item;
             mTarget = target;
+            mPrompt = CompletionPrompt.partsOf(Buffer.buffer(item.getBody()).toJsonObject());
             mSlotId = slotId;
         }
     }
@@ -85,6 +95,7 @@
     private final TargetClient mTargetClient;
     private final PeerClient mPeers;
     private final PluginRegistry mPlugins;
+    private final SharedPromptGuard mPromptGuard;
     private final NodeMetrics mMetrics;
     private final Map<Long, RunningItem> mRunningBySlotId = new ConcurrentHashMap<>();
     private final Set<String> mPullingTargets = ConcurrentHashMap.newKeySet();
@@ -104,6 +115,7 @@
             TargetClient client,
             PeerClient peers,
             PluginRegistry plugins,
+            SharedPromptGuard promptGuard,
             NodeMetrics metrics) {
         mVertx = vertx;
         mTicker = ticker;
@@ -114,6 +126,7 @@
         mTargetClient = client;
         mPeers = peers;
         mPlugins = plugins;
+        mPromptGuard = promptGuard;
         mMetrics = metrics;
     }
 
@@ -226,9 +239,35 @@
                 item.getIndex(),
                 item.getCustomer(),
                 target.name());
-        sendToTarget(running)
-                .onSuccess(response -> onResponse(running, response))
-                .onFailure(e -> endAttempt(running, ItemOutcome.TARGET_FAILED, 0, new byte[0]));
+        mPromptGuard
+                .blocking(target.serviceName(), running.mPrompt, item.getJobId())
+                .onSuccess(entry -> sendOrReject(running, entry));
+    }
+
+    private void sendOrReject(RunningItem running, PromptQuarantine.@Nullable Entry entry) {
+        if (entry == null) {
+            sendToTarget(running)
+                    .onSuccess(response -> onResponse(running, response))
+                    .onFailure(e -> onAttemptFailed(running, e));
+            return;
+        }
+        Problem problem = QuarantineProblems.notRun(running.mTarget.serviceName(), entry);
+        byte[] body = problem.toJson(requestId(running)).toBuffer().getBytes();
+        endAttempt(running, ItemOutcome.INVALID, problem.type().status(), body);
+    }
+
+    private void onAttemptFailed(RunningItem running, Throwable cause) {
+        if (!running.mEnded && LostConnections.isLost(cause)) {
+            Target target = running.mTarget;
+            LostTarget lost = new LostTarget(target.serviceName(), target.name(), target.address());
+            mPromptGuard.recordLostRun(lost, running.mPrompt, 0);
+        }
+        endAttempt(running, ItemOutcome.TARGET_FAILED, 0, new byte[0]);
+    }
+
+    private static String requestId(RunningItem running) {
+        BatchItem item = running.mItem;
+        return item.getJobId() + "-" + item.getIndex() + "-" + running.mSlotId;
     }
 
     /** Status and body of the HTTP response of a target. */
@@ -245,7 +284,7 @@
         } catch (SesamepinException e) {
             return Future.failedFuture(e);
         }
-        String requestId = item.getJobId() + "-" + item.getIndex() + "-" + running.mSlotId;
+        String requestId = requestId(running);
         RequestOptions options =
                 TargetClient.requestOptions(target, HttpMethod.POST, item.getPath());
         options.putHeader("Content-Type", "application/json");
@@ -281,6 +320,7 @@
         mHealth.recordSuccess(running.mTarget.name());
         if (status < STATUS_CLIENT_ERROR) {
             mMetrics.countCompleted(running.mItem.getCustomer(), "batch");
+            mPromptGuard.recordSuccess(running.mTarget.serviceName(), running.mPrompt);
             endAttempt(running, ItemOutcome.COMPLETED, status, response.body());
         } else if (status >= STATUS_SERVER_ERROR) {
             endAttempt(running, ItemOutcome.TARGET_FAILED, status, response.body());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/OwnedJob.java
@@ -167,7 +167,7 @@
     synchronized void recordOutcome(int index, ItemOutcome outcome, int status, byte[] body) {
         switch (outcome) {
             case COMPLETED -> finishItem(index, status, body, null);
-            case INVALID -> finishItem(index, status, body, "the target refused the item");
+            case INVALID -> finishItem(index, status, body, "the item was refused");
             case TARGET_FAILED -> {
                 if (mTracker.recordTargetFailure(index)) {
                     LOG.info("step=batch job={} item={} failed=true", record().id(), index);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/fleet/StoreKeys.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/fleet/StoreKeys.java
@@ -14,6 +14,9 @@
     /** Prefix of the entries of jobs that have not ended. */
     public static final String OPEN_JOBS_PREFIX = "/sesamepin/open-jobs/";
 
+    /** Prefix of the quarantine of prompts under which targets ended. */
+    public static final String PROMPT_QUARANTINE_PREFIX = "/sesamepin/prompt-quarantine/";
+
     private static final String BUNDLE_VERSIONS_PREFIX = "/sesamepin/bundle/versions/";
     private static final String JOBS_PREFIX = "/sesamepin/jobs/";
     private static final String FILES_PREFIX = "/sesamepin/files/";
--- a/sesamepin-node/src/main/java/org/sesamepin/node/fleet/StorePoller.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/fleet/StorePoller.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
@@ -17,6 +18,7 @@
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.spi.PlatformStore;
 import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreRead;
 import org.sesamepin.node.spi.StoreResult;
 import org.sesamepin.node.spi.StoreTransaction;
@@ -43,6 +45,7 @@
     private final FleetView mFleet;
     private final BundleManager mBundles;
     private final Function<Boolean, HostRecord> mRecordFactory;
+    private final Consumer<StoreListing> mPromptQuarantineReader;
     private final AtomicBoolean mPolling = new AtomicBoolean();
     private long mPollTimer;
     private long mLeaseTimer;
@@ -56,6 +59,7 @@
      * Creates a poller.
      *
      * @param record creates this host's record; its argument is whether the host is leaving
+     * @param promptQuarantineReader receives the quarantine of prompts at each poll
      */
     public StorePoller(
             Vertx vertx,
@@ -64,7 +68,8 @@
             ShareLease shareLease,
             FleetView fleet,
             BundleManager bundles,
-            Function<Boolean, HostRecord> record) {
+            Function<Boolean, HostRecord> record,
+            Consumer<StoreListing> promptQuarantineReader) {
         mVertx = vertx;
         mStore = store;
         mTicker = ticker;
@@ -72,6 +77,7 @@
         mFleet = fleet;
         mBundles = bundles;
         mRecordFactory = record;
+        mPromptQuarantineReader = promptQuarantineReader;
     }
 
     /** Starts polling the store and renewing the lease; the first poll runs at once. */
@@ -95,7 +101,8 @@
                 List.of(
                         StoreRead.of(StoreKeys.BUNDLE_HEAD),
                         StoreRead.of(StoreKeys.ASSIGNMENT),
-                        StoreRead.ofPrefix(StoreKeys.HOSTS_PREFIX));
+                        StoreRead.ofPrefix(StoreKeys.HOSTS_PREFIX),
+                        StoreRead.ofPrefix(StoreKeys.PROMPT_QUARANTINE_PREFIX));
         mStore.read(reads)
                 .compose(result -> onPollResult(result, sentAt))
                 .onComplete(
@@ -113,6 +120,7 @@
     }
 
     private Future<Void> onPollResult(StoreResult result, long sentAt) {
+        mPromptQuarantineReader.accept(new StoreListing(result.revision(), result.entries()));
         List<HostRecord> hosts = parseHostRecords(result);
         mFleet.setPeerAddresses(
                 hosts.stream()
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -16,10 +16,17 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.http.ResponseBody;
+import org.sesamepin.node.prompt.CompletionPrompt;
+import org.sesamepin.node.prompt.LostConnections;
+import org.sesamepin.node.prompt.LostTarget;
+import org.sesamepin.node.prompt.QuarantineProblems;
+import org.sesamepin.node.prompt.SharedPromptGuard;
 import org.sesamepin.node.slot.SlotLease;
 import org.sesamepin.node.spi.TargetProtocol;
 import org.sesamepin.node.target.TargetClient;
@@ -32,21 +39,25 @@
  * response that belongs to another request is discarded together with its connection.
  */
 final class CompletionRequest extends OnlineRequestBase {
+    private static final int MIN_CLIENT_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int CHARS_PER_TOKEN = 4;
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MIN_CHECK_INTERVAL_MS = 10;
+    private static final int LOST_CONNECTIONS_BEFORE_JUDGEMENT = 2;
 
     private final EventStreamParser mParser = new EventStreamParser(this::forwardEvent);
     private Buffer mBody = Buffer.buffer();
     private JsonObject mRequestJson = new JsonObject();
     private @Nullable Model mModel;
+    private PromptParts mPrompt = PromptParts.NONE;
     private @Nullable HttpClientRequest mTargetRequest;
     private @Nullable HttpClientResponse mTargetResponse;
     private long mLastProgressNanos;
     private long mProgressTimer = -1;
-    private boolean mHasForwarded;
+    private long mForwardedEvents;
     private int mAttempt;
+    private int mLostConnections;
     private boolean mAborted;
 
     CompletionRequest(OnlineContext onlineContext, HttpServerRequest request) {
@@ -58,6 +69,7 @@
         setCaller(mOnlineContext.authenticator().authenticate(mRequest));
         readBody()
                 .compose(this::parseBody)
+                .compose(v -> checkPrompt())
                 .compose(v -> admit())
                 .onSuccess(v -> tryNextTarget())
                 .onFailure(this::fail);
@@ -74,6 +86,7 @@
                             "the body is not a JSON object"));
         }
         mBody = body;
+        mPrompt = CompletionPrompt.partsOf(mRequestJson);
         Object modelName = mRequestJson.getValue("model");
         mModel = modelName == null ? null : caller().bundle().models().get(modelName.toString());
         if (mModel == null) {
@@ -93,6 +106,22 @@
         return model;
     }
 
+    /** Rejects a prompt under which targets of the model ended, before it counts for the rate. */
+    private Future<Void> checkPrompt() {
+        return quarantine()
+                .compose(
+                        entry ->
+                                entry == null
+                                        ? Future.succeededFuture()
+                                        : Future.failedFuture(
+                                                QuarantineProblems.notRun(model().name(), entry)));
+    }
+
+    private Future<PromptQuarantine.@Nullable Entry> quarantine() {
+        return onEventLoop(
+                mOnlineContext.promptGuard().blocking(model().name(), mPrompt, mRequestId));
+    }
+
     private void tryNextTarget() {
         acquireSlot(model().name(), estimatedTokens(), model().queueTimeoutMs())
                 .onSuccess(this::callTarget)
@@ -118,7 +147,8 @@
         RequestOptions options =
                 TargetClient.requestOptions(target, mRequest.method(), mRequest.path());
         KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
-        protocol.prepare(options, target, mRequestId, mHasForwarded ? mParser.lastEventId() : null);
+        protocol.prepare(
+                options, target, mRequestId, hasForwarded() ? mParser.lastEventId() : null);
         int attempt = mAttempt;
         mLastProgressNanos = System.nanoTime();
         startProgressTimer(attempt, lease);
@@ -230,10 +260,17 @@
                             .putHeader("Content-Type", type == null ? "application/json" : type)
                             .putHeader(TargetHeaders.REQUEST_ID, mRequestId)
                             .end(body);
+                    if (response.statusCode() < MIN_CLIENT_ERROR_STATUS) {
+                        recordAnswer();
+                    }
                     complete();
                 });
     }
 
+    private void recordAnswer() {
+        mOnlineContext.promptGuard().recordSuccess(model().name(), mPrompt);
+    }
+
     private void forwardStream(int attempt, SlotLease lease, HttpClientResponse response) {
         response.handler(
                 part -> {
@@ -265,6 +302,7 @@
                     }
                     stopProgressTimer();
                     mRequest.response().end();
+                    recordAnswer();
                     complete();
                 });
     }
@@ -283,17 +321,21 @@
 
     private void forwardEvent(Buffer event) {
         HttpServerResponse caller = mRequest.response();
-        if (!mHasForwarded) {
+        if (!hasForwarded()) {
             recordFirstByte();
-            mHasForwarded = true;
             caller.setChunked(true)
                     .putHeader("Content-Type", "text/event-stream")
                     .putHeader("Cache-Control", "no-store")
                     .putHeader(TargetHeaders.REQUEST_ID, mRequestId);
         }
+        mForwardedEvents++;
         caller.write(event);
     }
 
+    private boolean hasForwarded() {
+        return mForwardedEvents > 0;
+    }
+
     /**
      * Handles the failure of an attempt: resumes or retries the call at another target, or ends the
      * request if neither is possible.
@@ -305,16 +347,56 @@
         }
         mAttempt++;
         stopProgressTimer();
+        recordLostRun(lease.target(), cause);
         resetTargetRequest();
         releaseSlot(true);
         recordRetry(lease, cause);
-        boolean canContinue = !mHasForwarded || (canResume(lease) && mParser.lastEventId() != null);
+        boolean canContinue =
+                !hasForwarded() || (canResume(lease) && mParser.lastEventId() != null);
         if (!canContinue) {
             fail(targetFailedProblem(lease, cause));
             return;
         }
         mParser.discardPartialEvent();
-        tryNextTarget();
+        tryAgain();
+    }
+
+    private void recordLostRun(Target target, Throwable cause) {
+        if (mTargetRequest == null || !LostConnections.isLost(cause)) {
+            return;
+        }
+        mLostConnections++;
+        LostTarget lost = new LostTarget(target.serviceName(), target.name(), target.address());
+        mOnlineContext.promptGuard().recordLostRun(lost, mPrompt, mForwardedEvents);
+    }
+
+    /**
+     * Tries another target. After two lost connections the prompt may be what ends the targets, so
+     * the evidence is judged first.
+     */
+    private void tryAgain() {
+        if (mLostConnections < LOST_CONNECTIONS_BEFORE_JUDGEMENT) {
+            tryUnlessQuarantined();
+            return;
+        }
+        mOnlineContext
+                .vertx()
+                .setTimer(SharedPromptGuard.JUDGEMENT_MS, t -> tryUnlessQuarantined());
+    }
+
+    private void tryUnlessQuarantined() {
+        if (hasEnded() || mAborted) {
+            return;
+        }
+        quarantine()
+                .onSuccess(
+                        entry -> {
+                            if (entry == null) {
+                                tryNextTarget();
+                            } else {
+                                fail(QuarantineProblems.interrupted(model().name(), entry));
+                            }
+                        });
     }
 
     private boolean canResume(SlotLease lease) {
@@ -355,7 +437,7 @@
     @Override
     protected void sendProblem(Problem problem) {
         HttpServerResponse response = mRequest.response();
-        if (!mHasForwarded || response.ended()) {
+        if (!hasForwarded() || response.ended()) {
             super.sendProblem(problem);
             return;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineContext.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import org.sesamepin.node.admin.NodeMetrics;
 import org.sesamepin.node.limit.RateLimiter;
+import org.sesamepin.node.prompt.SharedPromptGuard;
 import org.sesamepin.node.settings.CallerLimits;
 import org.sesamepin.node.slot.SlotService;
 import org.sesamepin.node.slot.TargetHealth;
@@ -21,6 +22,7 @@
  * @param slots acquires and releases slots of targets
  * @param targetHealth tracks failing targets
  * @param targetClient opens requests to targets
+ * @param promptGuard keeps prompts from targets that end under them
  * @param plugins the target protocols
  * @param metrics counters and distributions of requests
  */
@@ -34,5 +36,6 @@
         SlotService slots,
         TargetHealth targetHealth,
         TargetClient targetClient,
+        SharedPromptGuard promptGuard,
         PluginRegistry plugins,
         NodeMetrics metrics) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -4,14 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.PromptSuspects;
 import org.sesamepin.core.prompt.Suspect;
 import org.sesamepin.core.prompt.TargetEnd;
-import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.generated.PeerRequest;
@@ -19,9 +17,7 @@
 import org.sesamepin.node.peer.generated.PromptQuarantineEntry;
 import org.sesamepin.node.peer.generated.PromptSuccesses;
 import org.sesamepin.node.peer.generated.TargetEndReport;
-import org.sesamepin.node.serving.PeerTable;
 import org.sesamepin.node.serving.StoreMirror;
-import org.sesamepin.node.spi.WatchableStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,9 +42,8 @@
 
     private final Vertx mVertx;
     private final Ticker mTicker;
-    private final PeerTable mPeers;
+    private final HostDirectory mHosts;
     private final PeerClient mPeerClient;
-    private final Predicate<String> mIsProber;
     private final TargetEndDetector mDetector;
     private final PromptQuarantineStore mQuarantineStore;
     private final PromptSuspects mSuspects;
@@ -63,27 +58,26 @@
     /**
      * Creates a guard that knows of no bad prompt.
      *
-     * @param isProber whether this host is the one that probes the quarantine with a given key
+     * @param identity what the ids of targets identify
      */
     public PromptGuard(
             Vertx vertx,
             Ticker ticker,
-            PeerTable peers,
+            PromptSuspects.TargetIdentity identity,
+            HostDirectory hosts,
             PeerClient peerClient,
-            WatchableStore store,
-            Predicate<String> isProber) {
+            QuarantineStorage storage) {
         mVertx = vertx;
         mTicker = ticker;
-        mPeers = peers;
+        mHosts = hosts;
         mPeerClient = peerClient;
-        mIsProber = isProber;
         mStartedAt = ticker.nanoTime();
-        mSuspects = new PromptSuspects(ticker.nanoTime());
+        mSuspects = new PromptSuspects(identity, ticker.nanoTime());
         mDetector = new TargetEndDetector(vertx, this::onTargetEnd);
         mQuarantineStore =
                 new PromptQuarantineStore(
                         vertx,
-                        store,
+                        storage,
                         entry -> adopt(entry, "store"),
                         this::lift,
                         mQuarantine::isInForce);
@@ -113,16 +107,11 @@
             return null;
         }
         boolean probe =
-                mIsProber.test(entry.suspect().label())
+                mHosts.isProberOf(entry.suspect().label())
                         && mQuarantine.startProbe(entry, requestId, System.currentTimeMillis());
         return probe ? null : entry;
     }
 
-    /** Returns the time after which a caller may try a prompt in quarantine again, milliseconds. */
-    public static long retryAfterMs(PromptQuarantine.Entry entry) {
-        return Math.max(1_000, entry.untilMs() - System.currentTimeMillis());
-    }
-
     /** Records that a target answered a request completely. */
     public void recordSuccess(String service, PromptParts prompt) {
         mSuspects.recordSuccess(service, prompt, mTicker.nanoTime());
@@ -138,7 +127,7 @@
      *
      * @param events number of events of the answer that had arrived
      */
-    public void recordLostRun(TargetInstance target, PromptParts prompt, long events) {
+    public void recordLostRun(LostTarget target, PromptParts prompt, long events) {
         mDetector.recordLostRun(target, prompt, events);
     }
 
@@ -211,17 +200,19 @@
         }
         PeerRequest message =
                 PeerRequest.promptEvidence(
-                        new PromptEvidence(mPeers.self(), ends, successes, entries));
-        for (PeerTable.Peer peer : mPeers.registered()) {
-            mPeerClient
-                    .call(peer.address(), message, SEND_TIMEOUT_MS)
-                    .onFailure(
-                            e ->
-                                    LOG.info(
-                                            "step=prompt-evidence peer={} outcome=lost cause={}",
-                                            peer.name(),
-                                            e.getMessage()));
-        }
+                        new PromptEvidence(mHosts.self(), ends, successes, entries));
+        mHosts.peerAddresses().forEach((host, address) -> sendEvidence(host, address, message));
+    }
+
+    private void sendEvidence(String host, String address, PeerRequest message) {
+        mPeerClient
+                .call(address, message, SEND_TIMEOUT_MS)
+                .onFailure(
+                        e ->
+                                LOG.info(
+                                        "step=prompt-evidence peer={} outcome=lost cause={}",
+                                        host,
+                                        e.getMessage()));
     }
 
     /** Records the evidence of a peer. */
@@ -275,7 +266,7 @@
 
     /** Returns the number of quarantines in force. */
     public int quarantineCount() {
-        return mQuarantine.entries().size();
+        return mQuarantine.size();
     }
 
     /** Returns how many ends of targets under requests this host has seen. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -15,14 +15,12 @@
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.Suspect;
-import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.serving.StoreMirror;
 import org.sesamepin.node.spi.StoreChange;
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreTransaction;
-import org.sesamepin.node.spi.WatchableStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +40,7 @@
     private record Stored(PromptQuarantine.Entry entry, long revision) {}
 
     private final Vertx mVertx;
-    private final WatchableStore mStore;
+    private final QuarantineStorage mStorage;
     private final Consumer<PromptQuarantine.Entry> mOnEntry;
     private final Consumer<Suspect> mOnRemoved;
     private final Predicate<PromptQuarantine.Entry> mIsInForce;
@@ -58,19 +56,23 @@
      */
     PromptQuarantineStore(
             Vertx vertx,
-            WatchableStore store,
+            QuarantineStorage storage,
             Consumer<PromptQuarantine.Entry> onEntry,
             Consumer<Suspect> onRemoved,
             Predicate<PromptQuarantine.Entry> isInForce) {
         mVertx = vertx;
-        mStore = store;
+        mStorage = storage;
         mOnEntry = onEntry;
         mOnRemoved = onRemoved;
         mIsInForce = isInForce;
     }
 
-    private static String key(Suspect suspect) {
-        return ServingKeys.promptQuarantine(suspect.service() + '/' + suspect.label());
+    private String key(Suspect suspect) {
+        return mStorage.keyPrefix() + suspect.service() + '/' + suspect.label();
+    }
+
+    private boolean isOwnKey(String key) {
+        return key.startsWith(mStorage.keyPrefix());
     }
 
     /** Returns whether the entries were read from the store. */
@@ -96,7 +98,8 @@
                 new StoreTransaction()
                         .ifUnchanged(key, stored == null ? 0 : stored.revision())
                         .put(key, encode(entry));
-        mStore.commit(transaction)
+        mStorage.commit()
+                .apply(transaction)
                 .onSuccess(
                         result -> {
                             if (!result.committed()) {
@@ -122,7 +125,8 @@
         if (stored == null) {
             return;
         }
-        mStore.commit(new StoreTransaction().ifUnchanged(key, stored.revision()).delete(key))
+        mStorage.commit()
+                .apply(new StoreTransaction().ifUnchanged(key, stored.revision()).delete(key))
                 .onFailure(e -> mVertx.setTimer(RETRY_DELAY_MS, t -> remove(suspect)));
     }
 
@@ -158,7 +162,7 @@
         mListed = true;
         Set<String> listed = new HashSet<>();
         for (StoreEntry entry : listing.entries()) {
-            if (ServingKeys.Kind.PROMPT_QUARANTINE.matches(entry.key())) {
+            if (isOwnKey(entry.key())) {
                 listed.add(entry.key());
                 read(entry);
             }
@@ -173,7 +177,7 @@
     @Override
     public void onChanges(StoreChanges changes, boolean afterOutage) {
         for (StoreChange change : changes.changes()) {
-            if (!ServingKeys.Kind.PROMPT_QUARANTINE.matches(change.key())) {
+            if (!isOwnKey(change.key())) {
                 continue;
             }
             StoreEntry entry = change.entry();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.prompt.TargetEnd;
-import org.sesamepin.core.target.TargetInstance;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -58,17 +57,17 @@
     }
 
     /** Records that a target closed the connection on which it ran a request. */
-    void recordLostRun(TargetInstance target, PromptParts prompt, long events) {
-        List<TargetEnd.Run> runs = mLostRuns.get(target.incarnation());
+    void recordLostRun(LostTarget target, PromptParts prompt, long events) {
+        List<TargetEnd.Run> runs = mLostRuns.get(target.id());
         if (runs == null) {
             runs = new ArrayList<>();
-            mLostRuns.put(target.incarnation(), runs);
+            mLostRuns.put(target.id(), runs);
             mVertx.setTimer(COLLECT_MS, t -> check(target));
         }
         runs.add(TargetEnd.Run.afterEvents(prompt, events));
     }
 
-    private void check(TargetInstance target) {
+    private void check(LostTarget target) {
         mClient.connect(target.address().getPort(), target.address().getHostString())
                 .onSuccess(
                         socket -> {
@@ -82,12 +81,12 @@
         return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
     }
 
-    private void finish(TargetInstance target, Outcome outcome) {
-        List<TargetEnd.Run> runs = mLostRuns.remove(target.incarnation());
+    private void finish(LostTarget target, Outcome outcome) {
+        List<TargetEnd.Run> runs = mLostRuns.remove(target.id());
         if (runs == null) {
             return;
         }
-        TargetEnd end = new TargetEnd(target.service(), target.incarnation(), runs);
+        TargetEnd end = new TargetEnd(target.service(), target.id(), runs);
         LOG.info(
                 "step=target-end target={} service={} requests={} prompts={} outcome={}",
                 end.target(),
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -15,7 +15,7 @@
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.limit.Admission;
-import org.sesamepin.node.prompt.PromptGuard;
+import org.sesamepin.node.prompt.QuarantineProblems;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -117,27 +117,13 @@
             if (entry == null) {
                 return;
             }
-            problem = quarantineProblem(share.service(), entry);
+            problem = QuarantineProblems.notRun(share.service(), entry);
         }
         if (problem != null) {
             throw problem;
         }
     }
 
-    /** Returns the error for a request with a prompt under which targets of a service ended. */
-    static Problem quarantineProblem(String service, PromptQuarantine.Entry entry) {
-        return new Problem(
-                ProblemType.PROMPT_QUARANTINED,
-                Step.ADMIT,
-                service,
-                Execution.NOT_RUN,
-                "several targets ended under the prompt's part "
-                        + entry.suspect().label()
-                        + "; change or leave out the part",
-                PromptGuard.retryAfterMs(entry),
-                null);
-    }
-
     private static Problem notReady(String detail) {
         return new Problem(
                 ProblemType.NOT_READY,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -18,6 +18,7 @@
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
+import org.sesamepin.node.prompt.QuarantineProblems;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -324,7 +325,7 @@
     private void sendNoTarget(String reason) {
         PromptQuarantine.Entry quarantine = mQuarantine;
         if (quarantine != null) {
-            sendProblem(CallHandler.quarantineProblem(mService, quarantine));
+            sendProblem(QuarantineProblems.notRun(mService, quarantine));
             return;
         }
         long jitter = ThreadLocalRandom.current().nextLong(RETRY_AFTER_JITTER_MS);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingKeys.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingKeys.java
@@ -26,9 +26,7 @@
         /** Cancellation of a job by its customer. */
         CANCELLATION(ENDS),
         /** Counter that changes with each job accepted for one customer on one route. */
-        ACCEPTED(ServingKeys.ACCEPTED),
-        /** Parts of prompts that are not sent to targets. */
-        PROMPT_QUARANTINE(ServingKeys.PROMPT_QUARANTINE);
+        ACCEPTED(ServingKeys.ACCEPTED);
 
         private final String mPrefix;
 
@@ -74,9 +72,9 @@
         return ACCEPTED + customer + '/' + route;
     }
 
-    /** Returns the key of a quarantine of prompts; {@code name} is unique for its parts. */
-    public static String promptQuarantine(String name) {
-        return PROMPT_QUARANTINE + name;
+    /** Returns the prefix of the keys of the quarantine of prompts. */
+    public static String promptQuarantinePrefix() {
+        return PROMPT_QUARANTINE;
     }
 
     /** Returns the prefix of the keys of a job's items. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -2,13 +2,12 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.sesamepin.core.lifecycle.Closer;
-import org.sesamepin.core.membership.Rendezvous;
+import org.sesamepin.core.prompt.PromptSuspects;
 import org.sesamepin.core.target.TargetSelector;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.job.JobIndex;
@@ -22,6 +21,7 @@
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.PlaceAnswer;
 import org.sesamepin.node.prompt.PromptGuard;
+import org.sesamepin.node.prompt.QuarantineStorage;
 import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.spi.WatchableStore;
 import org.sesamepin.node.target.TargetClient;
@@ -63,6 +63,7 @@
     private final ServingState mState = new ServingState();
     private final ServingMetrics mMetrics = new ServingMetrics();
     private final PeerTable mPeers;
+    private final RegisteredHosts mHosts;
     private final PeerClient mPeerClient;
     private final LoadTable mLoads;
     private final CustomerRateLimiter mRateLimiter;
@@ -98,6 +99,7 @@
         mStore = mCloser.add(store);
         long incarnation = System.currentTimeMillis();
         mPeers = new PeerTable(mTicker, settings.host(), settings.cores());
+        mHosts = new RegisteredHosts(mPeers);
         mPeerClient = mCloser.add(new PeerClient(vertx));
         mLoads = new LoadTable(mTicker);
         mRateLimiter = new CustomerRateLimiter(mTicker, mState, mPeers, mPeerClient);
@@ -165,7 +167,13 @@
     private PromptGuard newPromptGuard(WatchableStore store) {
         return mCloser.add(
                 new PromptGuard(
-                        mVertx, mTicker, mPeers, mPeerClient, store, this::isRendezvousOwner));
+                        mVertx,
+                        mTicker,
+                        PromptSuspects.TargetIdentity.INCARNATION,
+                        mHosts,
+                        mPeerClient,
+                        new QuarantineStorage(
+                                ServingKeys.promptQuarantinePrefix(), store::commit)));
     }
 
     private ReportExchange newReportExchange(WatchableStore store, long incarnation) {
@@ -252,10 +260,7 @@
      * key}.
      */
     public boolean isRendezvousOwner(String key) {
-        List<String> hosts = new ArrayList<>();
-        hosts.add(mSettings.host());
-        mPeers.registered().forEach(peer -> hosts.add(peer.name()));
-        return mSettings.host().equals(Rendezvous.owner(key, hosts));
+        return mHosts.isRendezvousOwner(key);
     }
 
     /** Starts all components except the server for callers. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -13,6 +13,7 @@
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.IdleTimeout;
 import org.sesamepin.node.http.ResponseBody;
+import org.sesamepin.node.prompt.LostTarget;
 
 /**
  * One attempt to run a request at one target. Notifies its listener of exactly one end: not
@@ -299,7 +300,9 @@
             return;
         }
         if (mContext.state().targets().isReady(mTarget)) {
-            mContext.promptGuard().recordLostRun(mTarget, mPlan.head().prompt(), mEventCount);
+            LostTarget lost =
+                    new LostTarget(mTarget.service(), mTarget.incarnation(), mTarget.address());
+            mContext.promptGuard().recordLostRun(lost, mPlan.head().prompt(), mEventCount);
         }
         endInterrupted(reason);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/PromptQuarantineStoreTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/PromptQuarantineStoreTest.java
@@ -21,7 +21,7 @@
 /** Guards the stored quarantine against lost writes, and against writes after it was lifted. */
 class PromptQuarantineStoreTest {
     private static final Suspect SUSPECT = new Suspect("s", Set.of("bad"));
-    private static final String KEY = ServingKeys.promptQuarantine("s/bad");
+    private static final String KEY = ServingKeys.promptQuarantinePrefix() + "s/bad";
     private static final PromptQuarantine.Entry FIRST = new PromptQuarantine.Entry(SUSPECT, 0, 10);
     private static final PromptQuarantine.Entry PROLONGED =
             new PromptQuarantine.Entry(SUSPECT, 10, 30);
@@ -32,7 +32,11 @@
     private final AtomicBoolean mInForce = new AtomicBoolean(true);
     private final PromptQuarantineStore mQuarantine =
             new PromptQuarantineStore(
-                    mVertx, mStore, entry -> {}, suspect -> {}, entry -> mInForce.get());
+                    mVertx,
+                    new QuarantineStorage(ServingKeys.promptQuarantinePrefix(), mStore::commit),
+                    entry -> {},
+                    suspect -> {},
+                    entry -> mInForce.get());
 
     @AfterEach
     void close() {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.sesamepin.core.job.ItemRunTimes;
+import org.sesamepin.core.prompt.PromptSuspects;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetSelector;
@@ -11,6 +12,7 @@
 import org.sesamepin.node.job.MemoryStore;
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.prompt.PromptGuard;
+import org.sesamepin.node.prompt.QuarantineStorage;
 import org.sesamepin.node.target.TargetClient;
 
 /**
@@ -54,10 +56,12 @@
                         new PromptGuard(
                                 vertx,
                                 Ticker.SYSTEM,
-                                mPeers,
+                                PromptSuspects.TargetIdentity.INCARNATION,
+                                new RegisteredHosts(mPeers),
                                 mPeerClient,
-                                new MemoryStore(),
-                                key -> true),
+                                new QuarantineStorage(
+                                        ServingKeys.promptQuarantinePrefix(),
+                                        new MemoryStore()::commit)),
                         new EventLoopLag(vertx, Ticker.SYSTEM),
                         metrics);
     }
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/StandInServer.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/StandInServer.java
@@ -23,15 +23,37 @@
     /** The Vert.x instance whose event loops run the stand-in. */
     protected final Vertx mVertx;
 
-    private final HttpServer mServer;
+    private volatile HttpServer mServer;
     private final InetSocketAddress mAddress;
 
     /** Creates a stand-in that will listen on {@code address}. */
     protected StandInServer(Vertx vertx, InetSocketAddress address) {
         mVertx = vertx;
         mAddress = address;
-        mServer = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(0));
-        mServer.requestHandler(this::handle);
+        mServer = createServer();
+    }
+
+    private HttpServer createServer() {
+        HttpServerOptions options = new HttpServerOptions().setIdleTimeout(0);
+        return mVertx.createHttpServer(options).requestHandler(this::handle);
+    }
+
+    /** Closes the listener and all connections for a time, as the end of the process would. */
+    protected final void restartAfter(long downtimeMs) {
+        mServer.close()
+                .compose(v -> mVertx.timer(downtimeMs, TimeUnit.MILLISECONDS))
+                .compose(
+                        v -> {
+                            mServer = createServer();
+                            return start();
+                        })
+                .onFailure(
+                        e ->
+                                LOG.error(
+                                        "standin={} address={} outcome=not-restarted",
+                                        getClass().getSimpleName(),
+                                        address(),
+                                        e));
     }
 
     /** Starts listening; the future fails when the address is already in use. */
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
@@ -30,7 +30,7 @@
  * connection of each new call until the fault {@code none} is set. {@code silent} stops sending
  * responses on the connections that are open at that moment, while new connections work. {@code
  * crossed} sends the next response under a wrong request id. The member {@code word} sets a poison
- * word: a prompt that contains it takes the engine down for a short time.
+ * word: a prompt that contains it ends the engine, which starts again after a short time.
  */
 public final class EngineStandIn extends StandInServer {
     private static final int DEFAULT_MAX_TOKENS = 16;
@@ -146,8 +146,8 @@
         }
         if (!mPoisonWord.isEmpty() && prompt.toString().contains(mPoisonWord)) {
             mPoisonedCount++;
-            goDownBriefly();
-            request.connection().close();
+            resetAllRequests();
+            restartAfter(POISON_DOWNTIME_MS);
             return;
         }
         enqueue(request, requestJson, prompt.toString(), chat);
@@ -276,19 +276,6 @@
                         .put("kv_used", usedKvTokens());
     }
 
-    private void goDownBriefly() {
-        String previousFault = mFault;
-        mFault = "die";
-        resetAllRequests();
-        mVertx.setTimer(POISON_DOWNTIME_MS, t -> comeBackUp(previousFault));
-    }
-
-    private synchronized void comeBackUp(String previousFault) {
-        if (mFault.equals("die")) {
-            mFault = previousFault;
-        }
-    }
-
     private void resetAllRequests() {
         List<Generation> generations = new ArrayList<>(mActive);
         generations.addAll(mQueue);
--- a/sesamepin-test/src/test/java/org/sesamepin/test/FaultSteps.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FaultSteps.java
@@ -43,25 +43,6 @@
         }
     }
 
-    @When("{int} callers ask for {string}, one each {int} ms")
-    public void sendOneAfterTheOther(int callers, String prompt, int intervalMs) throws Exception {
-        for (int i = 0; i < callers; i++) {
-            String body = FleetClient.completionRequest(prompt, 2, false).encode();
-            int node = i % DemoFleet.NODE_COUNT;
-            mWorld.client().post(node, "/v1/completions", body, mWorld.fleet().highRateKey());
-            TimeUnit.MILLISECONDS.sleep(intervalMs);
-        }
-    }
-
-    @Then("the engines have ended at most {int} times")
-    public void enginesEndedAtMost(int times) throws Exception {
-        long ended = 0;
-        for (int i = 0; i < FleetWorld.ENGINE_COUNT; i++) {
-            ended += mWorld.getEngineExecutions(i).getLong("poisoned");
-        }
-        assertTrue(ended <= times, "engines ended " + ended + " times");
-    }
-
     @When("the host of node {int} is lost")
     public void killNode(int node) throws Exception {
         mWorld.fleet().killNode(node);
