Say "unknown" of a model call that was sent, where no further target is left

What callers saw: a call under which three engines had ended got 503 no-target with execution "not-run", though engines had begun to run it. Plain services already told the truth in that case; both use the same function now. The new scenario got "not-run" before. Retries of calls whose connection was refused are not affected: nothing had been sent.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -58,6 +58,7 @@
     private long mForwardedEvents;
     private int mAttempt;
     private int mLostConnections;
+    private boolean mSent;
     private boolean mAborted;
 
     CompletionRequest(OnlineContext onlineContext, HttpServerRequest request) {
@@ -125,7 +126,7 @@
     private void tryNextTarget() {
         acquireSlot(model().name(), estimatedTokens(), model().queueTimeoutMs())
                 .onSuccess(this::callTarget)
-                .onFailure(this::fail);
+                .onFailure(e -> fail(failureAfterAttempts(mSent, e)));
     }
 
     private long estimatedTokens() {
@@ -160,6 +161,7 @@
 
     private Future<HttpClientResponse> sendBody(HttpClientRequest request) {
         mTargetRequest = request;
+        mSent = true;
         if (hasEnded()) {
             request.reset();
             return Future.failedFuture("the caller has disconnected");
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineRequestBase.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/OnlineRequestBase.java
@@ -347,6 +347,24 @@
         problem.send(response, mRequestId);
     }
 
+    /**
+     * Returns the failure to report when no further attempt can be made. A request that an earlier
+     * attempt has sent may have run.
+     */
+    protected static Throwable failureAfterAttempts(boolean wasSent, Throwable e) {
+        if (!wasSent || !(e instanceof Problem problem)) {
+            return e;
+        }
+        return new Problem(
+                problem.type(),
+                problem.step(),
+                problem.peer(),
+                Execution.UNKNOWN,
+                "an earlier attempt was sent to a target",
+                0,
+                problem);
+    }
+
     protected final boolean hasEnded() {
         return mEnded;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -227,19 +227,7 @@
         if (intent != null && !mSent) {
             mIntentLog.deleteIntent(intent);
         }
-        if (mSent && e instanceof Problem problem) {
-            fail(
-                    new Problem(
-                            problem.type(),
-                            problem.step(),
-                            problem.peer(),
-                            Execution.UNKNOWN,
-                            "an earlier attempt was sent to a target",
-                            0,
-                            problem));
-            return;
-        }
-        fail(e);
+        fail(failureAfterAttempts(mSent, e));
     }
 
     private void resetTargetRequest() {
--- a/sesamepin-test/src/test/resources/features/prompts.feature
+++ b/sesamepin-test/src/test/resources/features/prompts.feature
@@ -17,6 +17,11 @@
     When a caller asks node 2 for "a poison"
     Then the answer is problem "prompt-quarantined" with execution "not-run"
 
+  Scenario: A call that ended engines is not told that it did not run
+    When every engine dies of the word "poison"
+    And a caller asks node 0 for "a poison"
+    Then the answer is problem "no-target" with execution "unknown"
+
   Scenario: Chats that share the first message with a bad one are served
     When every engine dies of the word "poison"
     And 10 callers chat "You are a desk." and "a poison", one each 300 ms
