--- a/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/Node.java
@@ -3,9 +3,7 @@
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
@@ -28,7 +26,6 @@
 import org.sesamepin.node.fleet.FleetView;
 import org.sesamepin.node.fleet.HeartbeatService;
 import org.sesamepin.node.fleet.HostListWatcher;
-import org.sesamepin.node.fleet.HostRecord;
 import org.sesamepin.node.fleet.KeyFreshness;
 import org.sesamepin.node.fleet.LiveHosts;
 import org.sesamepin.node.fleet.StoreKeys;
@@ -43,7 +40,6 @@
 import org.sesamepin.node.peer.PeerClient;
 import org.sesamepin.node.peer.PeerServer;
 import org.sesamepin.node.peer.generated.Done;
-import org.sesamepin.node.peer.generated.HostState;
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.prompt.QuarantineStorage;
@@ -70,7 +66,6 @@
     private final Vertx mVertx;
     private final NodeSettings mSettings;
     private final Ticker mTicker = Ticker.SYSTEM;
-    private final long mIncarnation = System.currentTimeMillis();
     private final Closer mCloser = new Closer();
     private final NodeMetrics mMetrics = new NodeMetrics();
     private final PluginRegistry mPlugins = PluginRegistry.load();
@@ -90,6 +85,7 @@
     private final SharedPromptGuard mPromptGuard;
     private final BatchRunner mBatchRunner;
     private final JobService mJobs;
+    private final NodeStatus mStatus;
     private final StorePoller mPoller;
     private final OnlineContext mOnlineContext;
     private final BatchApi mBatchApi;
@@ -140,6 +136,7 @@
                                 mLimiter,
                                 mMetrics,
                                 mBatchRunner));
+        mStatus = createStatus();
         mPoller =
                 mCloser.add(
                         new StorePoller(
@@ -149,7 +146,7 @@
                                 mShareLease,
                                 mFleet,
                                 mBundles,
-                                this::record,
+                                mStatus::hostRecord,
                                 mPromptGuard::onListing));
         mOnlineContext = createOnlineContext(client);
         mBatchApi = createBatchApi(jobStore);
@@ -170,6 +167,26 @@
                 mMetrics);
     }
 
+    private NodeStatus createStatus() {
+        return new NodeStatus(
+                mSettings,
+                System.currentTimeMillis(),
+                mFleet,
+                mBundles,
+                mFreshness,
+                mShareLease,
+                mSlots,
+                mJobs,
+                mBatchRunner,
+                mActiveRequests,
+                mPromptGuard,
+                this::isStoreReachable);
+    }
+
+    private boolean isStoreReachable() {
+        return mPoller.isStoreReachable();
+    }
+
     private SharedPromptGuard createPromptGuard() {
         return new SharedPromptGuard(
                 mVertx,
@@ -244,7 +261,7 @@
                                 mShareDelegator,
                                 mDelegatedShares,
                                 mBundles,
-                                this::currentState,
+                                mStatus::hostState,
                                 this::afterHeartbeats));
         heartbeats.registerHandlers(server);
         mLimiter.registerHandlers(server);
@@ -257,9 +274,9 @@
                                 mVertx,
                                 mSettings.adminAddress(),
                                 mMetrics,
-                                this::unreadyReason,
+                                mStatus::unreadyReason,
                                 this::status));
-        registerGauges();
+        mStatus.registerGauges(mMetrics);
         IntentLog intents = new IntentLog(mVertx, mStore);
         Future<String> callers =
                 mVertx.deployVerticle(
@@ -326,125 +343,19 @@
         mChooser.resetSentCounts();
     }
 
-    private HostState currentState() {
-        HostState state = new HostState();
-        state.setHost(mSettings.host());
-        state.setIncarnation(mIncarnation);
-        state.setEpoch(mShareLease.assignment().epoch());
-        state.setReleasedEpoch(mShareLease.releasedEpoch());
-        state.setSettled(mShareLease.isSettled());
-        state.setBundleVersion(mBundles.current().version());
-        state.setHeadAgeMs(mBundles.headAgeMs());
-        state.setDraining(mFleet.isDraining());
-        state.setView(mFleet.view());
-        state.setTargets(mSlots.ownedTargetLoads());
-        state.setPendingItems(mJobs.pendingItems());
-        state.setPeerAddress(NodeSettings.formatAddress(mSettings.peerAddress()));
-        return state;
-    }
-
-    private HostRecord record(boolean leaving) {
-        return new HostRecord(
-                mSettings.host(),
-                mIncarnation,
-                mSettings.failureDomain(),
-                mSettings.weight(),
-                NodeSettings.formatAddress(mSettings.peerAddress()),
-                NodeSettings.formatAddress(mSettings.adminAddress()),
-                NodeSettings.formatAddress(mSettings.callerAddress()),
-                mBundles.current().version(),
-                leaving,
-                mBundles.rejectionReason());
-    }
-
-    private String unreadyReason() {
-        if (mFleet.isDraining()) {
-            return "stopping";
-        }
-        if (mBundles.current().version() == 0) {
-            return "no bundle in force";
-        }
-        if (!mFreshness.isFresh()) {
-            return "cut off from the store and from most peers";
-        }
-        return mShareLease.fraction() > 0 ? "" : "waiting for a share of the customers' rates";
-    }
-
     private Future<PeerReply> handlePromptEvidence(PeerRequest request) {
         mPromptGuard.recordEvidence(request.getPromptEvidence());
         return Future.succeededFuture(PeerReply.done(new Done()));
     }
 
-    private void registerGauges() {
-        mMetrics.registerGauge(
-                "sesamepin_bundle_version",
-                "Bundle version in force.",
-                () -> mBundles.current().version());
-        mMetrics.registerGauge(
-                "sesamepin_head_age_seconds",
-                "Age of the last confirmation by the store.",
-                () -> mBundles.headAgeMs() / 1_000.0);
-        mMetrics.registerGauge(
-                "sesamepin_live_hosts", "Hosts in the view.", () -> mFleet.view().size());
-        mMetrics.registerGauge(
-                "sesamepin_rate_share", "Own share of the rates.", mShareLease::fraction);
-        mMetrics.registerGauge(
-                "sesamepin_batch_running", "Batch items that run.", mBatchRunner::runningItemCount);
-        mMetrics.registerGauge(
-                "sesamepin_prompts_quarantined",
-                "Prompt parts that are not sent to targets.",
-                mPromptGuard::quarantineCount);
-        mMetrics.registerGauge(
-                "sesamepin_target_ends",
-                "Targets that ended under requests of this host.",
-                mPromptGuard::endCount);
-        mMetrics.registerGauge("sesamepin_jobs_owned", "Jobs owned.", mJobs::ownedJobCount);
-        mMetrics.registerGauge(
-                "sesamepin_requests_running", "Online requests.", mActiveRequests::size);
-    }
-
     /** Returns the state of the node that {@code /status} shows to operators. */
     public JsonObject status() {
-        JsonArray peers = new JsonArray();
-        for (HostState peer : mFleet.livePeerStates()) {
-            peers.add(
-                    new JsonObject()
-                            .put("host", peer.getHost())
-                            .put("version", peer.getBundleVersion())
-                            .put("epoch", peer.getEpoch()));
-        }
-        List<JsonObject> targets =
-                mSlots.ownedTargetLoads().stream()
-                        .map(
-                                load ->
-                                        new JsonObject()
-                                                .put("target", load.getTarget())
-                                                .put("free", load.getFreeSlots())
-                                                .put("batch", load.getBatchRunning())
-                                                .put("queued", load.getQueued())
-                                                .put("failing", load.isFailing()))
-                        .toList();
-        return new JsonObject()
-                .put("host", mSettings.host())
-                .put("unready", unreadyReason())
-                .put("version", mBundles.current().version())
-                .put("refused", mBundles.rejectionReason())
-                .put("epoch", mShareLease.assignment().epoch())
-                .put("settled", mShareLease.isSettled())
-                .put("share", mShareLease.fraction())
-                .put("store_reachable", mPoller.isStoreReachable())
-                .put("head_age_ms", mBundles.headAgeMs())
-                .put("view", new JsonArray(mFleet.view()))
-                .put("peers", peers)
-                .put("targets_owned", new JsonArray(targets))
-                .put("jobs_owned", mJobs.ownedJobCount())
-                .put("batch_running", mBatchRunner.runningItemCount())
-                .put("requests_running", mActiveRequests.size());
+        return mStatus.toJson();
     }
 
     /** Returns whether the node is ready to serve requests. */
     public boolean isReady() {
-        return unreadyReason().isEmpty();
+        return mStatus.unreadyReason().isEmpty();
     }
 
     /**
