Serve waiting requests that can be in time before those that are late

Cause: callers that were refused and came back went first, each in order of arrival. Once a burst exceeds the targets, all slots go to requests that are late already, the fresh ones are refused, come back and are late as well. OverloadTest shows it without limits: at twice what the targets can run, 531 of 1,280 requests in time.

Ruled out: the limits' buckets (targets got what they named), too few slots used (the four targets without a limit were full), and the estimate of a wait.

Now a request that can still meet its objective goes first, returned or not. A returned request that can't waits behind these and gets the slots that are left; how many that were lately decides whether it may wait at all, so that none waits in vain in a long overload. The test: 1,373, 1,413 and 1,429 of 1,280 in time (returned ones included) where it was 1,201, 531 and 113; of the callers beyond the targets more are refused twice.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -1,7 +1,6 @@
 package org.sesamepin.core.target;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -111,17 +110,8 @@
     /** The coordinator gives out the limits of its targets alone. */
     private static final double WHOLE_LIMIT = 1;
 
-    /** Fraction of the latency objective that a request may wait here and still meet it. */
-    private static final double MAX_WAIT_FRACTION = 0.6;
-
     private static final int MAX_QUEUE_LENGTH = 400;
 
-    /**
-     * Age at which a queued request that its host has not repeated is dropped. Hosts repeat a
-     * waiting request more often than this, so one that is not repeated has lost its caller.
-     */
-    private static final long QUEUED_REQUEST_TTL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
     private static final long INITIAL_SERVICE_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -147,21 +137,11 @@
      */
     private static final double MAX_BATCH_SLOWDOWN = 2;
 
-    private static final Comparator<QueuedRequest> QUEUE_ORDER =
-            Comparator.comparing(
-                    QueuedRequest::request,
-                    Comparator.comparingInt(Request::rank)
-                            .thenComparing(request -> !request.isRetry())
-                            .thenComparingLong(Request::deadline));
-
-    /** A waiting request, and when its host last sent it. */
-    private record QueuedRequest(Request request, long lastReceivedAt) {}
-
     private final TargetRateLimits mLimits;
     private final TargetRequestBuckets mBuckets;
     private final InFlightTable mInFlight = new InFlightTable();
     private final TargetSpeeds mSpeeds = new TargetSpeeds();
-    private final List<QueuedRequest> mQueue = new ArrayList<>();
+    private final OnlineQueue mQueue = new OnlineQueue();
     private final WaitingItemsTable mWaitingItems = new WaitingItemsTable();
     private double mMeanServiceTimeNanos = INITIAL_SERVICE_TIME_NANOS;
 
@@ -193,40 +173,40 @@
 
     /**
      * Places an online request, queues it, or rejects it. A request is rejected when there are no
-     * targets, when it is predicted to miss its deadline, when the queue is full, or when it is
-     * predicted to miss its latency objective and is not a retry. A repeated request replaces its
-     * former copy.
+     * targets, when the queue is full, when it is predicted to miss its latency objective and is
+     * not a retry, or when it is late and predicted to miss its deadline. A repeated request
+     * replaces its former copy.
      */
     public Reply requestPlacement(Request request, List<TargetInstance> targets, long now) {
-        dropExpired(now);
-        withdraw(request.requestId());
+        mQueue.dropExpired(now);
+        OnlineQueue.Entry entry = mQueue.takeForRepeat(request, now);
         Grant grant = place(request, targets, now);
         if (grant != null) {
+            mQueue.recordPlacement(entry, now);
             return new Reply(grant, false, 0);
         }
-        long waitNanos = predictWaitNanos(request, targets);
-        boolean missesObjective = waitNanos > request.latencyObjectiveNanos() * MAX_WAIT_FRACTION;
-        boolean missesDeadline = now + waitNanos - request.deadline() >= 0;
-        boolean rejected =
-                missesDeadline
-                        || mQueue.size() >= MAX_QUEUE_LENGTH
-                        || (missesObjective && !request.isRetry());
-        if (rejected || targets.isEmpty()) {
+        double slots = targets.stream().mapToDouble(this::usableSlots).sum();
+        long waitNanos = waitNanos(mQueue.countInTimeBefore(entry, now), slots);
+        boolean inTime = !entry.isLate(now) && entry.isInTimeAfter(waitNanos, now);
+        if (targets.isEmpty() || mQueue.size() >= MAX_QUEUE_LENGTH) {
+            return new Reply(null, true, waitNanos);
+        }
+        boolean rejected = !inTime && (!request.isRetry() || expiresWhileLate(entry, slots, now));
+        if (rejected) {
             return new Reply(null, true, waitNanos);
         }
-        mQueue.add(new QueuedRequest(request, now));
-        mQueue.sort(QUEUE_ORDER);
+        mQueue.add(inTime ? entry : entry.late());
         return new Reply(null, false, 0);
     }
 
-    private long predictWaitNanos(Request request, List<TargetInstance> targets) {
-        double slots = 0;
-        for (TargetInstance target : targets) {
-            slots += usableSlots(target);
-        }
-        QueuedRequest added = new QueuedRequest(request, 0);
-        long before =
-                mQueue.stream().filter(other -> QUEUE_ORDER.compare(other, added) <= 0).count();
+    /** Returns whether a late request is predicted to get no slot before its caller leaves. */
+    private boolean expiresWhileLate(OnlineQueue.Entry entry, double slots, long now) {
+        double slotsForLate = slots * mQueue.lateFraction();
+        long waitNanos = waitNanos(mQueue.countLateBefore(entry, now), slotsForLate);
+        return now + waitNanos - entry.request().deadline() >= 0;
+    }
+
+    private long waitNanos(long before, double slots) {
         return (long) ((before + 1) * mMeanServiceTimeNanos / Math.max(MIN_SLOTS, slots));
     }
 
@@ -236,16 +216,9 @@
         return Math.min(target.slots(), mLimits.perS(target.incarnation()) * serviceTimeS);
     }
 
-    private void dropExpired(long now) {
-        mQueue.removeIf(
-                queued ->
-                        now - queued.request().deadline() >= 0
-                                || now - queued.lastReceivedAt() > QUEUED_REQUEST_TTL_NANOS);
-    }
-
     /** Removes a request from the queue, for example because its caller has left. */
     public void withdraw(String requestId) {
-        mQueue.removeIf(queued -> queued.request().requestId().equals(requestId));
+        mQueue.withdraw(requestId);
     }
 
     private @Nullable Grant place(Request request, List<TargetInstance> targets, long now) {
@@ -305,12 +278,13 @@
 
     /** Places waiting requests and items: online requests first, then batch items by due time. */
     public List<Grant> placeWaiting(List<TargetInstance> targets, long now) {
-        dropExpired(now);
+        mQueue.dropExpired(now);
         List<Grant> grants = new ArrayList<>();
-        for (QueuedRequest queued : List.copyOf(mQueue)) {
-            Grant grant = place(queued.request(), targets, now);
+        for (OnlineQueue.Entry entry : mQueue.ordered(now)) {
+            Grant grant = place(entry.request(), targets, now);
             if (grant != null) {
-                mQueue.remove(queued);
+                mQueue.remove(entry);
+                mQueue.recordPlacement(entry, now);
                 grants.add(grant);
             }
         }
