Keep the share of late requests well defined on any clock

Found by reading: the monotonic clock may be negative, and the first placement then divided infinities: the share was no number, and no late request would have been refused any more.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/OnlineQueue.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/OnlineQueue.java
@@ -152,7 +152,8 @@
     void recordPlacement(Entry placed, long now) {
         boolean lateWait = mEntries.stream().anyMatch(entry -> entry.isLate(now));
         double sample = placed.isLate(now) || !lateWait ? 1 : 0;
-        double gain = 1 - Math.exp((mPlacedAt - now) / LATE_FRACTION_NANOS);
+        long sinceNanos = Math.max(0, now - mPlacedAt);
+        double gain = 1 - Math.exp(-sinceNanos / LATE_FRACTION_NANOS);
         mLateFraction += gain * (sample - mLateFraction);
         mPlacedAt = now;
     }
