Send one item as the probe of a prompt in quarantine, not a whole job

Found by reading: a probe is known by the id of its request, and all items of a job asked under the job's id, so that all with the prompt would have been sent as the probe at once. Each attempt at an item asks under its own id now. That one id gets one probe is shown by PromptQuarantineTest; the batch runner's part has no test of its own.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -240,7 +240,7 @@
                 item.getCustomer(),
                 target.name());
         mPromptGuard
-                .blocking(target.serviceName(), running.mPrompt, item.getJobId())
+                .blocking(target.serviceName(), running.mPrompt, requestId(running))
                 .onSuccess(entry -> sendOrReject(running, entry));
     }
 
