Take the prompt of a model call out of CompletionRequest

CallPrompt knows the parts, the connections lost under them, and how long to wait before the next attempt.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -16,17 +16,12 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
-import org.sesamepin.core.prompt.PromptParts;
-import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.prompt.CompletionPrompt;
-import org.sesamepin.node.prompt.LostConnections;
-import org.sesamepin.node.prompt.LostTarget;
 import org.sesamepin.node.prompt.QuarantineProblems;
-import org.sesamepin.node.prompt.SharedPromptGuard;
 import org.sesamepin.node.slot.SlotLease;
 import org.sesamepin.node.spi.TargetProtocol;
 import org.sesamepin.node.target.TargetClient;
@@ -44,13 +39,12 @@
     private static final int CHARS_PER_TOKEN = 4;
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MIN_CHECK_INTERVAL_MS = 10;
-    private static final int LOST_CONNECTIONS_BEFORE_JUDGEMENT = 2;
 
     private final EventStreamParser mParser = new EventStreamParser(this::forwardEvent);
     private Buffer mBody = Buffer.buffer();
     private JsonObject mRequestJson = new JsonObject();
     private @Nullable Model mModel;
-    private PromptParts mPrompt = PromptParts.NONE;
+    private @Nullable CallPrompt mPrompt;
     private @Nullable HttpClientRequest mTargetRequest;
     private @Nullable HttpClientResponse mTargetResponse;
     private long mLastProgressNanos;
@@ -87,7 +81,6 @@
                             "the body is not a JSON object"));
         }
         mBody = body;
-        mPrompt = CompletionPrompt.partsOf(mRequestJson);
         Object modelName = mRequestJson.getValue("model");
         mModel = modelName == null ? null : caller().bundle().models().get(modelName.toString());
         if (mModel == null) {
@@ -96,9 +89,23 @@
                     new Problem(
                             ProblemType.UNKNOWN_MODEL, Step.ROUTE, "known models: " + knownModels));
         }
+        mPrompt =
+                new CallPrompt(
+                        mOnlineContext.promptGuard(),
+                        model().name(),
+                        CompletionPrompt.partsOf(mRequestJson),
+                        mRequestId);
         return Future.succeededFuture();
     }
 
+    private CallPrompt prompt() {
+        CallPrompt prompt = mPrompt;
+        if (prompt == null) {
+            throw new IllegalStateException("the prompt has not been read yet");
+        }
+        return prompt;
+    }
+
     private Model model() {
         Model model = mModel;
         if (model == null) {
@@ -109,7 +116,7 @@
 
     /** Rejects a prompt under which targets of the model ended, before it counts for the rate. */
     private Future<Void> checkPrompt() {
-        return quarantine()
+        return onEventLoop(prompt().quarantine())
                 .compose(
                         entry ->
                                 entry == null
@@ -118,11 +125,6 @@
                                                 QuarantineProblems.notRun(model().name(), entry)));
     }
 
-    private Future<PromptQuarantine.@Nullable Entry> quarantine() {
-        return onEventLoop(
-                mOnlineContext.promptGuard().blocking(model().name(), mPrompt, mRequestId));
-    }
-
     private void tryNextTarget() {
         acquireSlot(model().name(), estimatedTokens(), model().queueTimeoutMs())
                 .onSuccess(this::callTarget)
@@ -263,16 +265,12 @@
                             .putHeader(TargetHeaders.REQUEST_ID, mRequestId)
                             .end(body);
                     if (response.statusCode() < MIN_CLIENT_ERROR_STATUS) {
-                        recordAnswer();
+                        prompt().recordAnswer();
                     }
                     complete();
                 });
     }
 
-    private void recordAnswer() {
-        mOnlineContext.promptGuard().recordSuccess(model().name(), mPrompt);
-    }
-
     private void forwardStream(int attempt, SlotLease lease, HttpClientResponse response) {
         response.handler(
                 part -> {
@@ -304,7 +302,7 @@
                     }
                     stopProgressTimer();
                     mRequest.response().end();
-                    recordAnswer();
+                    prompt().recordAnswer();
                     complete();
                 });
     }
@@ -349,7 +347,9 @@
         }
         mAttempt++;
         stopProgressTimer();
-        recordLostRun(lease.target(), cause);
+        if (mTargetRequest != null) {
+            prompt().recordFailure(lease.target(), cause, mForwardedEvents);
+        }
         resetTargetRequest();
         releaseSlot(true);
         recordRetry(lease, cause);
@@ -363,34 +363,20 @@
         tryAgain();
     }
 
-    private void recordLostRun(Target target, Throwable cause) {
-        if (mTargetRequest == null || !LostConnections.isLost(cause)) {
-            return;
-        }
-        mLostConnections++;
-        LostTarget lost = new LostTarget(target.serviceName(), target.name(), target.address());
-        mOnlineContext.promptGuard().recordLostRun(lost, mPrompt, mForwardedEvents);
-    }
-
-    /**
-     * Tries another target. After two lost connections the prompt may be what ends the targets, so
-     * the evidence is judged first.
-     */
     private void tryAgain() {
-        if (mLostConnections < LOST_CONNECTIONS_BEFORE_JUDGEMENT) {
+        long delayMs = prompt().retryDelayMs();
+        if (delayMs == 0) {
             tryUnlessQuarantined();
             return;
         }
-        mOnlineContext
-                .vertx()
-                .setTimer(SharedPromptGuard.JUDGEMENT_MS, t -> tryUnlessQuarantined());
+        mOnlineContext.vertx().setTimer(delayMs, t -> tryUnlessQuarantined());
     }
 
     private void tryUnlessQuarantined() {
         if (hasEnded() || mAborted) {
             return;
         }
-        quarantine()
+        onEventLoop(prompt().quarantine())
                 .onSuccess(
                         entry -> {
                             if (entry == null) {
