--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -16,6 +16,7 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -51,7 +52,6 @@
     private long mProgressTimer = -1;
     private long mForwardedEvents;
     private int mAttempt;
-    private int mLostConnections;
     private boolean mSent;
     private boolean mAborted;
 
@@ -382,11 +382,19 @@
                             if (entry == null) {
                                 tryNextTarget();
                             } else {
-                                fail(QuarantineProblems.interrupted(model().name(), entry));
+                                failQuarantined(entry);
                             }
                         });
     }
 
+    private void failQuarantined(PromptQuarantine.Entry entry) {
+        String service = model().name();
+        fail(
+                mSent
+                        ? QuarantineProblems.interrupted(service, entry)
+                        : QuarantineProblems.notRun(service, entry));
+    }
+
     private boolean canResume(SlotLease lease) {
         try {
             return mOnlineContext.plugins().targetProtocol(lease.target().protocol()).canResume();
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/StandInServer.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/StandInServer.java
@@ -24,6 +24,7 @@
     protected final Vertx mVertx;
 
     private volatile HttpServer mServer;
+    private volatile boolean mClosed;
     private final InetSocketAddress mAddress;
 
     /** Creates a stand-in that will listen on {@code address}. */
@@ -44,6 +45,9 @@
                 .compose(v -> mVertx.timer(downtimeMs, TimeUnit.MILLISECONDS))
                 .compose(
                         v -> {
+                            if (mClosed) {
+                                return Future.succeededFuture();
+                            }
                             mServer = createServer();
                             return start();
                         })
@@ -107,6 +111,7 @@
 
     @Override
     public void close() throws Exception {
+        mClosed = true;
         mServer.close()
                 .toCompletionStage()
                 .toCompletableFuture()
