--- a/sesamepin-test/src/test/java/org/sesamepin/test/PromptSteps.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/PromptSteps.java
@@ -70,6 +70,11 @@
         }
     }
 
+    @Then("the engines have started {int} requests")
+    public void enginesStarted(int requests) throws Exception {
+        assertEquals(requests, mWorld.countStartedRequests());
+    }
+
     @Then("the engines have ended at most {int} times")
     public void enginesEndedAtMost(int times) throws Exception {
         long ended = 0;
