--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -12,7 +12,9 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A small HTTP/1.1 server and client with one thread per connection. */
 final class Http {
@@ -40,17 +42,47 @@
         boolean handle(Message request, Socket socket) throws Exception;
     }
 
-    /** Starts a server on a free port of the loopback address and returns the port. */
-    static int serve(Handler handler) throws IOException {
-        ServerSocket server = new ServerSocket();
-        server.bind(new InetSocketAddress(InetAddress.getByName(IP), 0), 512);
+    /** A listener and its open connections. */
+    static final class Server {
+        private final ServerSocket mListener;
+        private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+
+        private Server(ServerSocket listener) {
+            mListener = listener;
+        }
+
+        int port() {
+            return mListener.getLocalPort();
+        }
+
+        /** Closes the listener and all connections, as the end of the process does. */
+        void close() throws IOException {
+            mListener.close();
+            for (Socket socket : mSockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Starts a server on a free port of the loopback address. */
+    static Server serve(Handler handler) throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.bind(new InetSocketAddress(InetAddress.getByName(IP), 0), 512);
+        Server server = new Server(listener);
         start(() -> {
             while (true) {
-                Socket socket = server.accept();
-                start(() -> serveConnection(handler, socket));
+                Socket socket = listener.accept();
+                server.mSockets.add(socket);
+                start(() -> {
+                    try {
+                        serveConnection(handler, socket);
+                    } finally {
+                        server.mSockets.remove(socket);
+                    }
+                });
             }
         });
-        return server.getLocalPort();
+        return server;
     }
 
     interface Task {
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -5,7 +5,8 @@
             String[] folder = {args[1]};
             switch (args[0]) {
                 case "LargeSegment" -> LargeSegment.main(folder);
-                case "EndlessAnswers" -> EndlessAnswers.main(folder);
+                case "ManyLots" -> ManyLots.main(folder);
+                case "ExtraAnswers" -> ExtraAnswers.main(folder);
                 default -> throw new IllegalArgumentException("no case " + args[0]);
             }
         } catch (Throwable e) {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -44,7 +44,7 @@
 
     Store(Record record) throws Exception {
         mRecord = record;
-        mPort = Http.serve(this::handle);
+        mPort = Http.serve(this::handle).port();
         Http.start(this::expireLeases);
     }
 
@@ -103,6 +103,13 @@
         notifyAll();
     }
 
+    /** Removes an item as the platform does when its writer is silent. */
+    synchronized void remove(String key) {
+        mRevision++;
+        delete(key);
+        notifyAll();
+    }
+
     private void put(String key, String value, long lease) {
         Item previous = mItems.get(key);
         long created = previous == null ? mRevision : previous.created;
