--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# TROUBLE=0 leaves the extra answers out. KEEP_LOGS=FOLDER keeps the logs of the nodes.
+# TROUBLE=0 lets the store do and answer each write at once; the node is killed all the same.
+# KEEP_LOGS=FOLDER keeps the logs of the nodes.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx1g -cp target/review:target/sesamepin.jar Main ExtraAnswers review/5
+exec java -Xmx512m -cp target/review:target/sesamepin.jar Main LateRegistration review/5
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -6,7 +6,7 @@
             switch (args[0]) {
                 case "LargeSegment" -> LargeSegment.main(folder);
                 case "ManyLots" -> ManyLots.main(folder);
-                case "ExtraAnswers" -> ExtraAnswers.main(folder);
+                case "LateRegistration" -> LateRegistration.main(folder);
                 default -> throw new IllegalArgumentException("no case " + args[0]);
             }
         } catch (Throwable e) {
