Run accepted jobs whose acceptance lost the store's answer

Cause: the write that stores a job names this host as the owner; only its answer handed the job to JobRunner. With the answer lost, the repeat found the job ("known" or "exists") and reported it as accepted. The stored owner was alive, so no host claimed the job.

Ruled out: a lost write, a lapsed lease, a missing route.

Fix: JobClaimer compares the open jobs that the store assigns to this process with those that it runs and claims the missing ones. It rests on what the store says now, so it holds for every order of events; an acceptance or claim under way is reserved meanwhile. It makes no store call unless a job is missing. JobHost and leases in MemoryStore are test support; JobRequestHandlerTest's set-up moved to JobHost, its checks are unchanged.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
@@ -2,10 +2,8 @@
 
 import io.vertx.core.Future;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.sesamepin.core.job.JobItem;
@@ -18,8 +16,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Takes over open jobs whose owner is gone. At first, only the host that rendezvous hashing selects
- * claims a job; after a delay any host does. Confined to the event loop.
+ * Takes over open jobs that no process runs. A job whose owner is gone is claimed at first only by
+ * the host that rendezvous hashing selects, and after a delay by any host. A job that the store
+ * assigns to this process, though it does not run it, is claimed at once: the answer to the write
+ * that made this process the owner was lost, or the job could not be read afterwards. Confined to
+ * the event loop.
  */
 final class JobClaimer {
     private static final Logger LOG = LoggerFactory.getLogger(JobClaimer.class);
@@ -31,7 +32,6 @@
     private final HostLease mLease;
     private final OwnedJobs mOwnedJobs;
     private final Consumer<OwnedJob> mOnClaimed;
-    private final Set<String> mPendingClaims = new HashSet<>();
     private final Map<String, Long> mOwnerlessSinceNanos = new HashMap<>();
     private boolean mStopping;
 
@@ -55,30 +55,44 @@
         mStopping = true;
     }
 
-    /** Claims the jobs without an owner that this host is to take over. */
-    void claimOwnerless() {
+    /** Claims the jobs that no process runs and that this host is to run. */
+    void claimJobs() {
         if (mStopping || !mLease.isHeld() || !mContext.state().config().isKnown()) {
             return;
         }
-        List<String> ownerless = mIndex.ownerlessJobs(mLease.host(), mLease.incarnation());
-        mOwnerlessSinceNanos.keySet().retainAll(ownerless);
-        long nowNanos = mContext.ticker().nanoTime();
-        for (String jobId : ownerless) {
-            long sinceNanos = mOwnerlessSinceNanos.computeIfAbsent(jobId, id -> nowNanos);
-            boolean isPreferredHost = mLease.host().equals(Rendezvous.owner(jobId, mIndex.hosts()));
-            boolean anyHostMayClaim = nowNanos - sinceNanos > ANY_HOST_CLAIM_DELAY_NANOS;
-            if ((isPreferredHost || anyHostMayClaim)
-                    && mOwnedJobs.get(jobId) == null
-                    && mPendingClaims.add(jobId)) {
+        List<String> jobs = mIndex.openJobsWithoutOwnerOtherThan(mLease.host());
+        mOwnerlessSinceNanos.keySet().retainAll(jobs);
+        for (String jobId : jobs) {
+            if ((isAssignedHere(jobId) || mayClaimOwnerless(jobId)) && mOwnedJobs.reserve(jobId)) {
                 claim(jobId);
             }
         }
     }
 
+    /** Returns whether the store names this process as the owner of a job. */
+    private boolean isAssignedHere(String jobId) {
+        JobCodec.Owner owner = mIndex.owner(jobId);
+        return owner != null && owner.incarnation() == mLease.incarnation();
+    }
+
+    /** Returns whether this host may claim a job that has no owner or an ended process as owner. */
+    private boolean mayClaimOwnerless(String jobId) {
+        long nowNanos = mContext.ticker().nanoTime();
+        long sinceNanos = mOwnerlessSinceNanos.computeIfAbsent(jobId, id -> nowNanos);
+        boolean isPreferredHost = mLease.host().equals(Rendezvous.owner(jobId, mIndex.hosts()));
+        return isPreferredHost || nowNanos - sinceNanos > ANY_HOST_CLAIM_DELAY_NANOS;
+    }
+
     private void claim(String jobId) {
         JobCodec.Owner previousOwner = mIndex.owner(jobId);
         long revision = previousOwner == null ? 0 : previousOwner.revision();
         byte[] newOwner = JobCodec.encodeOwner(mLease.host(), mLease.incarnation());
+        LOG.info(
+                "step=claim job={} owner={} owner_revision={} index_revision={} outcome=started",
+                jobId,
+                previousOwner == null ? "-" : previousOwner.host(),
+                revision,
+                mIndex.revision());
         mStorage.claim(jobId, revision, newOwner, mLease.id())
                 .compose(
                         result ->
@@ -87,7 +101,8 @@
                                         : Future.succeededFuture())
                 .onComplete(
                         done -> {
-                            mPendingClaims.remove(jobId);
+                            mOwnedJobs.release(jobId);
+                            mOwnerlessSinceNanos.remove(jobId);
                             if (done.failed()) {
                                 LOG.warn(
                                         "step=claim job={} outcome=failed cause={}",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -177,28 +177,18 @@
         return tokens;
     }
 
-    /**
-     * Returns the jobs that are neither complete nor cancelled and have no owner. A job whose owner
-     * is an earlier process of this host counts as one without an owner.
-     *
-     * @param host name of this host
-     * @param incarnation incarnation of this process
-     */
-    List<String> ownerlessJobs(String host, long incarnation) {
-        List<String> ownerless = new ArrayList<>();
+    /** Returns the open jobs that have no owner, or a process of {@code host}. */
+    List<String> openJobsWithoutOwnerOtherThan(String host) {
+        List<String> jobs = new ArrayList<>();
         mSummaries.forEach(
                 (jobId, summary) -> {
                     JobCodec.Owner owner = mOwners.get(jobId);
-                    boolean ownedByPreviousProcess =
-                            owner != null
-                                    && owner.host().equals(host)
-                                    && owner.incarnation() != incarnation;
-                    boolean hasNoOwner = owner == null || ownedByPreviousProcess;
-                    if (hasNoOwner && !summary.isComplete() && !mCancelled.contains(jobId)) {
-                        ownerless.add(jobId);
+                    boolean ownedByOther = owner != null && !owner.host().equals(host);
+                    if (!ownedByOther && !summary.isComplete() && !mCancelled.contains(jobId)) {
+                        jobs.add(jobId);
                     }
                 });
-        return ownerless;
+        return jobs;
     }
 
     Map<String, JobSummary> summaries() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -129,7 +129,14 @@
     /** Accepts a job. A job whose id was accepted before is not stored again. */
     public Future<Acceptance> accept(
             String jobId, String customer, ServingRoute route, List<JobItem> items) {
-        return tryAccept(jobId, customer, route, items, 1, false);
+        boolean isReserved = mRunner.reserve(jobId);
+        return tryAccept(jobId, customer, route, items, 1, false)
+                .onComplete(
+                        done -> {
+                            if (isReserved) {
+                                mRunner.release(jobId);
+                            }
+                        });
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -90,7 +90,7 @@
         mIndex.addChangeListener(this::onJobChange);
         schedulePeriodic(ADVANCE_INTERVAL_MS, this::advanceJobs);
         schedulePeriodic(PUBLISH_CHECK_INTERVAL_MS, this::publishDueResults);
-        schedulePeriodic(CLAIM_INTERVAL_MS, mClaimer::claimOwnerless);
+        schedulePeriodic(CLAIM_INTERVAL_MS, mClaimer::claimJobs);
         schedulePeriodic(
                 CLEAN_INTERVAL_MS,
                 new JobCleaner(mStorage, mIndex, mLease, mRetentionMs)::removeExpired);
@@ -115,10 +115,26 @@
         return mOwnedJobs.get(jobId);
     }
 
+    /**
+     * Reserves a job that this host is about to accept; see {@link OwnedJobs#reserve}.
+     *
+     * @return false if this host owns the job or has reserved it already
+     */
+    boolean reserve(String jobId) {
+        return mOwnedJobs.reserve(jobId);
+    }
+
+    /** Ends a reservation, whatever the outcome of the acceptance. */
+    void release(String jobId) {
+        mOwnedJobs.release(jobId);
+    }
+
     /** Adds a job that this host has just accepted, or has loaded after a claim. */
     void add(OwnedJob job) {
         job.setLastPublicationNanos(mContext.ticker().nanoTime());
         mOwnedJobs.add(job);
+        // The index may have received a cancellation or a later owner before the store's reply.
+        onJobChange(job.id());
         advanceJobs();
         mOnItemsWaiting.run();
     }
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -0,0 +1,120 @@
+package org.sesamepin.node.job;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.sesamepin.core.job.JobItem;
+import org.sesamepin.core.serving.ConnectionLimits;
+import org.sesamepin.core.serving.RouteKind;
+import org.sesamepin.core.serving.ServiceShare;
+import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.serving.ServingRoute;
+import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.serving.HostLease;
+import org.sesamepin.node.serving.ServingFixture;
+import org.sesamepin.node.serving.ServingKeys;
+import org.sesamepin.node.serving.StoreMirror;
+import org.sesamepin.node.serving.WatchRateLimiter;
+
+/**
+ * The components of one host that accept and run jobs, on a store that the test supplies. Targets
+ * and peers are missing, so that items stay open. Confined to the event loop that creates it.
+ */
+final class JobHost implements AutoCloseable {
+    private static final long RETENTION_MS = 100_000;
+
+    private final JobIndex mIndex = new JobIndex();
+    private final ServingFixture mFixture;
+    private final HostLease mLease;
+    private final JobRunner mRunner;
+    private final StoreMirror mMirror;
+    private final JobRequestHandler mHandler;
+
+    /** Starts a host. */
+    JobHost(
+            Vertx vertx,
+            MemoryStore store,
+            String host,
+            long incarnation,
+            ServingConfig config,
+            LongSupplier watchIntervalMs) {
+        mFixture = new ServingFixture(vertx);
+        mFixture.state().activateIfNewer(config);
+        mLease =
+                new HostLease(
+                        vertx, Ticker.SYSTEM, store, host, incarnation, "127.0.0.1:1", 1, () -> {});
+        JobStorage storage = new JobStorage(store);
+        mRunner = new JobRunner(mFixture.context(), storage, mIndex, mLease, RETENTION_MS);
+        mMirror =
+                new StoreMirror(
+                        vertx,
+                        store,
+                        ServingKeys.CONTROL_PREFIX,
+                        mIndex,
+                        new WatchRateLimiter(Ticker.SYSTEM, watchIntervalMs));
+        mHandler =
+                new JobRequestHandler(
+                        mFixture.context(),
+                        storage,
+                        mIndex,
+                        mLease,
+                        mRunner,
+                        mFixture.peers(),
+                        mFixture.peerClient(),
+                        mMirror::watchNow);
+        mLease.start();
+        mMirror.start();
+        mRunner.start(() -> {});
+    }
+
+    JobRequestHandler handler() {
+        return mHandler;
+    }
+
+    JobIndex index() {
+        return mIndex;
+    }
+
+    /** Returns whether this host runs a job. */
+    boolean runs(String jobId) {
+        return mRunner.ownedJob(jobId) != null;
+    }
+
+    /** Returns a configuration with one route and no targets. */
+    static ServingConfig configOf(ServingRoute route) {
+        return new ServingConfig(1, List.of(route), List.of(), null, ConnectionLimits.DEFAULT);
+    }
+
+    /** Returns a route for jobs of which customers may have {@code maxQueuedTokens} queued. */
+    static ServingRoute batchRoute(long maxQueuedTokens) {
+        return new ServingRoute(
+                "r",
+                "h",
+                "/b/",
+                RouteKind.BATCH,
+                0,
+                0,
+                0,
+                List.of(new ServiceShare("s", 1)),
+                3,
+                false,
+                0,
+                0,
+                0,
+                maxQueuedTokens);
+    }
+
+    /** Returns the items of a job with one item. */
+    static List<JobItem> oneItem(long tokens) {
+        return List.of(new JobItem("i", "/b/1", Map.of(), new byte[0], tokens));
+    }
+
+    @Override
+    public void close() {
+        mRunner.close();
+        mMirror.close();
+        mLease.close();
+        mFixture.close();
+    }
+}
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobRequestHandlerTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobRequestHandlerTest.java
@@ -8,27 +8,18 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.serving.ConnectionLimits;
-import org.sesamepin.core.serving.RouteKind;
-import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
-import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.job.JobRequestHandler.Acceptance;
 import org.sesamepin.node.job.MemoryStore.Fault;
-import org.sesamepin.node.serving.HostLease;
-import org.sesamepin.node.serving.ServingFixture;
 import org.sesamepin.node.serving.ServingKeys;
-import org.sesamepin.node.serving.StoreMirror;
-import org.sesamepin.node.serving.WatchRateLimiter;
 
 /** Checks that jobs are accepted correctly by several hosts and when writes to the store fail. */
 class JobRequestHandlerTest {
@@ -59,77 +50,36 @@
     }
 
     private JobRequestHandler newHandler(String host, ServingConfig config) throws Exception {
-        return runOnEventLoop(
-                () -> {
-                    ServingFixture fixture = new ServingFixture(mVertx);
-                    fixture.state().activateIfNewer(config);
-                    JobIndex index = new JobIndex();
-                    HostLease lease =
-                            new HostLease(
-                                    mVertx,
-                                    Ticker.SYSTEM,
-                                    mStore,
-                                    host,
-                                    1,
-                                    "127.0.0.1:1",
-                                    1,
-                                    () -> {});
-                    JobStorage storage = new JobStorage(mStore);
-                    JobRunner runner =
-                            new JobRunner(
-                                    fixture.context(), storage, index, lease, TOKEN_LIMIT * 1_000);
-                    StoreMirror mirror =
-                            new StoreMirror(
-                                    mVertx,
-                                    mStore,
-                                    ServingKeys.CONTROL_PREFIX,
-                                    index,
-                                    new WatchRateLimiter(Ticker.SYSTEM, () -> mWatchIntervalMs));
-                    lease.start();
-                    mirror.start();
-                    mCloseables.addAll(List.of(mirror, lease, fixture));
-                    return Future.succeededFuture(
-                            new JobRequestHandler(
-                                    fixture.context(),
-                                    storage,
-                                    index,
-                                    lease,
-                                    runner,
-                                    fixture.peers(),
-                                    fixture.peerClient(),
-                                    mirror::watchNow));
-                });
+        return newHost(host, config).handler();
+    }
+
+    private JobHost newHost(String host, ServingConfig config) throws Exception {
+        JobHost started =
+                runOnEventLoop(
+                        () ->
+                                Future.succeededFuture(
+                                        new JobHost(
+                                                mVertx,
+                                                mStore,
+                                                host,
+                                                1,
+                                                config,
+                                                () -> mWatchIntervalMs)));
+        mCloseables.add(started);
+        return started;
     }
 
     private static ServingConfig config() {
-        return new ServingConfig(1, List.of(route()), List.of(), null, ConnectionLimits.DEFAULT);
+        return JobHost.configOf(route());
     }
 
     private static ServingRoute route() {
-        return new ServingRoute(
-                "r",
-                "h",
-                "/b/",
-                RouteKind.BATCH,
-                0,
-                0,
-                0,
-                List.of(new ServiceShare("s", 1)),
-                3,
-                false,
-                0,
-                0,
-                0,
-                TOKEN_LIMIT);
-    }
-
-    private static List<JobItem> items(long tokens) {
-        return List.of(new JobItem("i", "/b/1", Map.of(), new byte[0], tokens));
+        return JobHost.batchRoute(TOKEN_LIMIT);
     }
 
     private Acceptance accept(JobRequestHandler handler, String jobId, long tokens)
             throws Exception {
-        return runOnEventLoop(() -> handler.accept(jobId, "c", route(), items(tokens)));
+        return runOnEventLoop(() -> handler.accept(jobId, "c", route(), JobHost.oneItem(tokens)));
     }
 
     private long storedJobs() throws Exception {
@@ -225,8 +175,8 @@
                 runOnEventLoop(
                         () ->
                                 Future.all(
-                                                a.accept("one", "c", route(), items(60)),
-                                                b.accept("two", "c", route(), items(60)))
+                                                a.accept("one", "c", route(), JobHost.oneItem(60)),
+                                                b.accept("two", "c", route(), JobHost.oneItem(60)))
                                         .map(done -> done.list()));
         assertEquals(1, acceptances.stream().filter(x -> x == Acceptance.ACCEPTED).count());
         assertEquals(1, acceptances.stream().filter(x -> x == Acceptance.OVER_LIMIT).count());
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -3,7 +3,11 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.sesamepin.core.error.Execution;
@@ -31,7 +35,9 @@
         /** The write has no effect, and its outcome is unknown to the caller. */
         LOST,
         /** The write is rejected and has no effect. */
-        REFUSED
+        REFUSED,
+        /** The outcome is unknown to the caller; {@link #applyLateWrites} carries out the write. */
+        LATE
     }
 
     private record PendingWatch(String prefix, long afterRevision, Promise<StoreChanges> promise) {}
@@ -40,8 +46,12 @@
     private final List<StoreChange> mHistory = new ArrayList<>();
     private final List<PendingWatch> mPendingWatches = new ArrayList<>();
     private final List<Fault> mNextFaults = new ArrayList<>();
+    private final List<StoreTransaction> mLateWrites = new ArrayList<>();
+    private final Map<String, Long> mLeaseByKey = new HashMap<>();
+    private final Set<Long> mLeases = new HashSet<>();
     private long mRevision = 1;
     private long mLastLease;
+    private int mCommits;
 
     /** Creates an empty store. */
     public MemoryStore() {}
@@ -51,6 +61,56 @@
         mNextFaults.addAll(List.of(faults));
     }
 
+    /** Carries out the writes with the fault {@link Fault#LATE} whose conditions hold now. */
+    public void applyLateWrites() {
+        List<StoreTransaction> late = List.copyOf(mLateWrites);
+        mLateWrites.clear();
+        for (StoreTransaction transaction : late) {
+            if (mLeases.containsAll(leasesOf(transaction))) {
+                apply(transaction);
+            }
+        }
+        completeWatches();
+    }
+
+    private static List<Long> leasesOf(StoreTransaction transaction) {
+        return transaction.writes().stream()
+                .map(StoreTransaction.Write::lease)
+                .filter(lease -> lease != 0)
+                .toList();
+    }
+
+    /** Ends a lease and deletes its keys. */
+    public void expireLease(long lease) {
+        mLeases.remove(lease);
+        StoreTransaction deletion = new StoreTransaction();
+        mLeaseByKey.forEach(
+                (key, keyLease) -> {
+                    if (keyLease == lease) {
+                        deletion.delete(key);
+                    }
+                });
+        if (!deletion.writes().isEmpty()) {
+            apply(deletion);
+            completeWatches();
+        }
+    }
+
+    /** Returns the id of the lease that was granted last. */
+    public long lastLease() {
+        return mLastLease;
+    }
+
+    /** Returns the number of transactions that hosts have sent so far. */
+    public int commits() {
+        return mCommits;
+    }
+
+    /** Returns the lease of a key; 0 when it has none. */
+    public long leaseOf(String key) {
+        return mLeaseByKey.getOrDefault(key, 0L);
+    }
+
     /** Returns the number of keys that start with {@code prefix}. */
     public long countKeys(String prefix) {
         return mEntries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
@@ -88,6 +148,7 @@
 
     @Override
     public Future<StoreResult> commit(StoreTransaction transaction) {
+        mCommits++;
         Fault fault = mNextFaults.isEmpty() ? Fault.NONE : mNextFaults.remove(0);
         if (fault == Fault.REFUSED) {
             return fail(Execution.NOT_RUN);
@@ -95,6 +156,13 @@
         if (fault == Fault.LOST) {
             return fail(Execution.UNKNOWN);
         }
+        if (fault == Fault.LATE) {
+            mLateWrites.add(transaction);
+            return fail(Execution.UNKNOWN);
+        }
+        if (!mLeases.containsAll(leasesOf(transaction))) {
+            return fail(Execution.NOT_RUN);
+        }
         StoreResult result = apply(transaction);
         completeWatches();
         boolean isAnswerLost = fault == Fault.ANSWER_LOST;
@@ -123,11 +191,15 @@
         for (StoreTransaction.Write write : transaction.writes()) {
             StoreEntry entry =
                     write.delete() ? null : new StoreEntry(write.key(), write.value(), mRevision);
+            mLeaseByKey.remove(write.key());
             if (entry == null) {
                 mEntries.remove(write.key());
             } else {
                 mEntries.put(write.key(), entry);
             }
+            if (write.lease() != 0) {
+                mLeaseByKey.put(write.key(), write.lease());
+            }
             mHistory.add(new StoreChange(write.key(), entry, mRevision));
         }
         return new StoreResult(mRevision, true, List.of());
@@ -135,16 +207,18 @@
 
     @Override
     public Future<Long> grantLeaseMs(long ttlMs) {
-        return Future.succeededFuture(++mLastLease);
+        mLeases.add(++mLastLease);
+        return Future.succeededFuture(mLastLease);
     }
 
     @Override
     public Future<Boolean> keepAlive(long lease) {
-        return Future.succeededFuture(true);
+        return Future.succeededFuture(mLeases.contains(lease));
     }
 
     @Override
     public Future<Void> revokeLease(long lease) {
+        expireLease(lease);
         return Future.succeededFuture();
     }
 
