Keep a host registered when a write of its registration is done late

Cause: the registration was written without a condition. A first write without an answer was carried out after the second one and replaced it; it hung on the first lease, which nobody renewed, and ended with it. The host never compared its entry with the store. A coordinator elsewhere dropped the grants for its items, since the peer was unknown, and nobody claimed its jobs, since its lease was alive.

Ruled out: a lost lease; the job's own writes.

Fix: the registration is written on condition that the entry is the one that it replaces, and the host writes it again when the watch or a listing shows it missing or different. The first rule stops late writes of this process and of earlier ones; the second heals whatever is left.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
@@ -1,10 +1,16 @@
 package org.sesamepin.node.serving;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.spi.StoreChange;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.WatchableStore;
 import org.slf4j.Logger;
@@ -14,22 +20,38 @@
  * Registers this host in the store under a lease and renews the lease. Everything that the host
  * owns is written under the same lease, so that other hosts can take it over when this host fails
  * and the lease expires.
+ *
+ * <p>Each write of the registration is conditional on the entry that it replaces, so that a write
+ * that the store carries out late cannot replace a newer entry. The registration is compared with
+ * what the store reports, and written again when it is missing or is not the one that this process
+ * wrote last.
  */
-public final class HostLease implements AutoCloseable {
+public final class HostLease implements StoreMirror.Listener, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(HostLease.class);
     private static final long TTL_MS = 4_000;
     private static final long RENEWAL_INTERVAL_MS = 1_000;
     private static final long REGISTRATION_RETRY_MS = 300;
 
+    /** Stands for the revision of a registration that no write of this process has confirmed. */
+    private static final long UNCONFIRMED = 0;
+
     private final Vertx mVertx;
     private final Ticker mTicker;
     private final WatchableStore mStore;
     private final String mHost;
+    private final String mKey;
     private final long mIncarnation;
-    private final String mPeerAddress;
-    private final double mCores;
+    private final byte[] mRegistration;
     private final Runnable mOnStoreUnresponsive;
     private long mLeaseId;
+
+    /** Revision of the stored entry as last seen, which the next write replaces; 0 for none. */
+    private long mStoredRevision;
+
+    /** Revision at which the store confirmed the registration under the current lease. */
+    private long mConfirmedRevision = UNCONFIRMED;
+
+    private boolean mWriting;
     private long mConfirmedAt;
     private boolean mStoreLost;
     private boolean mClosed;
@@ -54,9 +76,15 @@
         mTicker = ticker;
         mStore = store;
         mHost = host;
+        mKey = ServingKeys.host(host);
         mIncarnation = incarnation;
-        mPeerAddress = peerAddress;
-        mCores = cores;
+        mRegistration =
+                new JsonObject()
+                        .put("peer", peerAddress)
+                        .put("incarnation", incarnation)
+                        .put("cores", cores)
+                        .encode()
+                        .getBytes(StandardCharsets.UTF_8);
         mOnStoreUnresponsive = onStoreUnresponsive;
     }
 
@@ -92,23 +120,9 @@
             return;
         }
         long requestedAt = mTicker.nanoTime();
+        mConfirmedRevision = UNCONFIRMED;
         mStore.grantLeaseMs(TTL_MS)
-                .compose(
-                        leaseId -> {
-                            String value =
-                                    new JsonObject()
-                                            .put("peer", mPeerAddress)
-                                            .put("incarnation", mIncarnation)
-                                            .put("cores", mCores)
-                                            .encode();
-                            StoreTransaction put =
-                                    new StoreTransaction()
-                                            .put(
-                                                    ServingKeys.host(mHost),
-                                                    value.getBytes(StandardCharsets.UTF_8),
-                                                    leaseId);
-                            return mStore.commit(put).map(leaseId);
-                        })
+                .compose(leaseId -> writeRegistration(leaseId).map(leaseId))
                 .onSuccess(leaseId -> onRegistered(leaseId, requestedAt))
                 .onFailure(
                         e -> {
@@ -117,14 +131,134 @@
                         });
     }
 
+    /**
+     * Replaces the stored entry by this host's registration. Tries once more if the entry was
+     * another one than expected.
+     */
+    private Future<Void> writeRegistration(long leaseId) {
+        mWriting = true;
+        return commitRegistration(leaseId)
+                .compose(
+                        committed ->
+                                committed
+                                        ? Future.succeededFuture(true)
+                                        : commitRegistration(leaseId))
+                .onComplete(done -> mWriting = false)
+                .compose(
+                        committed ->
+                                committed
+                                        ? Future.succeededFuture()
+                                        : Future.failedFuture("the stored entry keeps changing"));
+    }
+
+    /** Writes the registration if the stored entry is the expected one; returns whether it was. */
+    private Future<Boolean> commitRegistration(long leaseId) {
+        StoreTransaction put =
+                new StoreTransaction()
+                        .ifUnchanged(mKey, mStoredRevision)
+                        .put(mKey, mRegistration, leaseId);
+        return mStore.commit(put)
+                .map(
+                        result -> {
+                            if (result.committed()) {
+                                mStoredRevision = result.revision();
+                                mConfirmedRevision = result.revision();
+                            } else {
+                                mStoredRevision = revisionOf(result.entry(mKey));
+                            }
+                            return result.committed();
+                        });
+    }
+
+    private static long revisionOf(@Nullable StoreEntry entry) {
+        return entry == null ? 0 : entry.modRevision();
+    }
+
     private void onRegistered(long leaseId, long requestedAt) {
         mLeaseId = leaseId;
         mConfirmedAt = requestedAt;
         mStoreLost = false;
-        LOG.info("step=register host={} lease={} outcome=registered", mHost, leaseId);
+        LOG.info(
+                "step=register host={} lease={} revision={} outcome=registered",
+                mHost,
+                leaseId,
+                mConfirmedRevision);
         scheduleRenewal();
     }
 
+    @Override
+    public void onListing(StoreListing listing, boolean afterOutage) {
+        long revision =
+                listing.entries().stream()
+                        .filter(entry -> entry.key().equals(mKey))
+                        .mapToLong(StoreEntry::modRevision)
+                        .findFirst()
+                        .orElse(0);
+        compare(revision, listing.revision());
+    }
+
+    @Override
+    public void onChanges(StoreChanges changes, boolean afterOutage) {
+        for (StoreChange change : changes.changes()) {
+            if (change.key().equals(mKey)) {
+                compare(revisionOf(change.entry()), change.revision());
+            }
+        }
+    }
+
+    /**
+     * Compares the stored entry with the one that this process wrote last.
+     *
+     * @param revision revision of the stored entry; 0 when there is none
+     * @param reportedAt revision of the store at which the entry was stored so
+     */
+    private void compare(long revision, long reportedAt) {
+        boolean isRegistered = mLeaseId != 0 && mConfirmedRevision != UNCONFIRMED;
+        if (mClosed || mWriting || !isRegistered || reportedAt <= mConfirmedRevision) {
+            return;
+        }
+        mStoredRevision = revision;
+        if (revision == mConfirmedRevision) {
+            return;
+        }
+        LOG.warn(
+                "step=register host={} lease={} revision={} stored_revision={} outcome=replaced",
+                mHost,
+                mLeaseId,
+                mConfirmedRevision,
+                revision);
+        repair();
+    }
+
+    /** Writes the registration again under the current lease until the store confirms it. */
+    private void repair() {
+        long leaseId = mLeaseId;
+        if (mClosed || mWriting || leaseId == 0) {
+            return;
+        }
+        mConfirmedRevision = UNCONFIRMED;
+        writeRegistration(leaseId)
+                .onSuccess(
+                        v ->
+                                LOG.info(
+                                        "step=register host={} lease={} revision={}"
+                                                + " outcome=restored",
+                                        mHost,
+                                        leaseId,
+                                        mConfirmedRevision))
+                .onFailure(
+                        e -> {
+                            onStoreFailure(e);
+                            mVertx.setTimer(REGISTRATION_RETRY_MS, t -> retryRepair(leaseId));
+                        });
+    }
+
+    private void retryRepair(long leaseId) {
+        if (leaseId == mLeaseId) {
+            repair();
+        }
+    }
+
     private void scheduleRenewal() {
         mVertx.setTimer(RENEWAL_INTERVAL_MS, t -> renew());
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -134,6 +134,7 @@
                         new MirrorFanOut(
                                 List.of(
                                         new PeerRegistrationListener(mPeers),
+                                        mLease,
                                         jobIndex,
                                         mPromptGuard.storeListener())),
                         () -> watchIntervalMs(CONTROL_WATCHES_PER_S, MAX_CONTROL_INTERVAL_MS));
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -109,11 +109,6 @@
         }
     }
 
-    /** Returns the id of the lease that was granted last. */
-    public long lastLease() {
-        return mLastLease;
-    }
-
     /** Returns the number of transactions that hosts have sent so far. */
     public int commits() {
         return mCommits;
@@ -124,6 +119,12 @@
         return mLeaseByKey.getOrDefault(key, 0L);
     }
 
+    /** Returns the value of a key as text; empty when the key does not exist. */
+    public String textOf(String key) {
+        StoreEntry entry = mEntries.get(key);
+        return entry == null ? "" : entry.text();
+    }
+
     /** Returns the number of keys that start with {@code prefix}. */
     public long countKeys(String prefix) {
         return mEntries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
