Publish results of any size; make a value that the store rejects smaller

Cause: groups of results were limited by characters, but the store counts bytes of the encoded value; and a rejection for good (413) was handled like a lost answer, so the owner sent the same value for ever.

Fix: sizes are computed as encoded, escapes and base64 included; what alone exceeds a value is split over entries of one transaction. A group that left results out is followed by the next one at once.

The largest value comes from the settings.

Ruled out: the outage itself (ASCII text is listed), a lost job.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -1,8 +1,6 @@
 package org.sesamepin.core.job;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +40,7 @@
 
     private final List<Item> mItems = new ArrayList<>();
     private final Map<String, Integer> mIndexById = new HashMap<>();
-    private final Deque<JobResult> mUnpublished = new ArrayDeque<>();
+    private final List<JobResult> mUnpublished = new ArrayList<>();
     private final List<JobResult> mPublished = new ArrayList<>();
     private int mFinalCount;
 
@@ -227,27 +225,24 @@
     }
 
     /**
-     * Returns the first unpublished results, up to {@code maxChars} characters of output. Returns
-     * at least one result if there is one, even if it exceeds the limit alone.
+     * Returns the first unpublished results, up to {@code maxBytes} as JSON. Returns at least one
+     * result if there is one, even if it exceeds the limit alone.
      */
-    public List<JobResult> unpublishedResults(int maxChars) {
-        List<JobResult> results = new ArrayList<>();
-        int chars = 0;
-        for (JobResult result : mUnpublished) {
-            chars += result.output().length();
-            if (!results.isEmpty() && chars > maxChars) {
-                break;
-            }
-            results.add(result);
-        }
-        return results;
+    public List<JobResult> unpublishedResults(int maxBytes) {
+        return List.copyOf(mUnpublished)
+                .subList(0, JobResult.countWithin(mUnpublished, 0, maxBytes));
+    }
+
+    /** Returns the number of final results that are not published yet. */
+    public int unpublishedCount() {
+        return mUnpublished.size();
     }
 
     /** Records that the store holds the first {@code count} unpublished results. */
     public void recordPublished(int count) {
-        for (int i = 0; i < count; i++) {
-            mPublished.add(mUnpublished.remove());
-        }
+        List<JobResult> published = mUnpublished.subList(0, count);
+        mPublished.addAll(published);
+        published.clear();
     }
 
     /** Returns the published results in order of position. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
@@ -13,11 +13,13 @@
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.job.JobSummary;
+import org.sesamepin.core.job.JsonText;
 import org.sesamepin.node.spi.StoreEntry;
 
 /** Encodes and decodes the values of jobs in the store, which are JSON. */
 final class JobCodec {
-    private static final int MAX_PART_CHARS = 700_000;
+    /** Size of the names and punctuation of an item or a header as JSON, an upper limit, bytes. */
+    private static final int STRUCTURE_BYTES = 96;
 
     private JobCodec() {}
 
@@ -97,11 +99,14 @@
                                 json.getLong("accepted_at_ms")));
     }
 
-    /** Encodes items in parts that each fit into one value of the store. */
-    static List<byte[]> encodeItems(List<JobItem> items) {
+    /**
+     * Encodes items in groups of at most {@code maxBytes}. An item that exceeds the limit alone is
+     * a group of its own.
+     */
+    static List<byte[]> encodeItems(List<JobItem> items, int maxBytes) {
         List<byte[]> parts = new ArrayList<>();
         JsonArray part = new JsonArray();
-        int chars = 0;
+        long bytes = 0;
         for (JobItem item : items) {
             JsonObject json =
                     new JsonObject()
@@ -110,19 +115,31 @@
                             .put("headers", new JsonObject(new HashMap<>(item.headers())))
                             .put("body", item.body())
                             .put("tokens", item.tokens());
-            int size = item.body().length * 4 / 3 + item.path().length();
-            if (chars + size > MAX_PART_CHARS && !part.isEmpty()) {
+            long size = maxEncodedBytes(item);
+            if (bytes + size > maxBytes && !part.isEmpty()) {
                 parts.add(toBytes(new JsonObject().put("items", part)));
                 part = new JsonArray();
-                chars = 0;
+                bytes = 0;
             }
-            chars += size;
+            bytes += size;
             part.add(json);
         }
         parts.add(toBytes(new JsonObject().put("items", part)));
         return parts;
     }
 
+    /** Returns an upper limit of the size of an item as JSON, bytes. */
+    private static long maxEncodedBytes(JobItem item) {
+        long base64Bytes = (item.body().length + 2L) / 3 * 4;
+        long bytes = STRUCTURE_BYTES + base64Bytes;
+        bytes += JsonText.encodedBytes(item.id()) + JsonText.encodedBytes(item.path());
+        for (Map.Entry<String, String> header : item.headers().entrySet()) {
+            bytes += STRUCTURE_BYTES + JsonText.encodedBytes(header.getKey());
+            bytes += JsonText.encodedBytes(header.getValue());
+        }
+        return bytes;
+    }
+
     static List<JobItem> decodeItems(List<StoreEntry> parts) throws SesamepinException {
         List<JobItem> items = new ArrayList<>();
         for (StoreEntry part : parts) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -24,6 +24,9 @@
     private static final byte[] CANCELLATION_MARK = {'1'};
     private static final int MAX_REMOVED_ENTRIES = 30;
 
+    /** Comparisons, writes and deletions that the store takes in one transaction. */
+    private static final int MAX_TRANSACTION_ENTRIES = 32;
+
     /**
      * All results of a job that are in the store.
      *
@@ -33,11 +36,50 @@
      */
     record StoredResults(List<JobResult> results, int segments, Map<String, Integer> failures) {}
 
+    /** Entries of a transaction that accepts a job, beside the parts of its items. */
+    private static final int ACCEPT_ENTRIES = 5;
+
     private final WatchableStore mStore;
+    private final int mMaxValueBytes;
 
-    /** Creates a storage that keeps jobs in {@code store}. */
-    public JobStorage(WatchableStore store) {
+    /**
+     * Creates a storage that keeps jobs in {@code store}.
+     *
+     * @param maxValueBytes size of the largest value that the store takes, bytes
+     */
+    public JobStorage(WatchableStore store, int maxValueBytes) {
         mStore = store;
+        mMaxValueBytes = maxValueBytes;
+    }
+
+    /** Returns the size of the largest value that the store takes, bytes. */
+    int maxValueBytes() {
+        return mMaxValueBytes;
+    }
+
+    /**
+     * Returns the size up to which results or items are grouped into one value, bytes. It is well
+     * below the largest value, so that a write does not hold up others for long.
+     *
+     * @param maxValueBytes size of the largest value, bytes
+     */
+    static int groupBytes(int maxValueBytes) {
+        return maxValueBytes / 10 * 6;
+    }
+
+    /** Returns whether the items of a job fit into the transaction that accepts the job. */
+    boolean canAccept(List<JobItem> items) {
+        return itemParts("", items).size() + ACCEPT_ENTRIES <= MAX_TRANSACTION_ENTRIES;
+    }
+
+    private List<ValueParts.Part> itemParts(String jobId, List<JobItem> items) {
+        List<ValueParts.Part> parts = new ArrayList<>();
+        int number = 0;
+        for (byte[] group : JobCodec.encodeItems(items, groupBytes(mMaxValueBytes))) {
+            String key = ServingKeys.itemPart(jobId, number++);
+            parts.addAll(ValueParts.split(key, group, mMaxValueBytes));
+        }
+        return parts;
     }
 
     /**
@@ -64,10 +106,7 @@
                         .put(counter, jobId)
                         .put(ServingKeys.job(jobId), JobCodec.encodeSummary(summary), 0)
                         .put(ServingKeys.owner(jobId), owner, lease);
-        List<byte[]> parts = JobCodec.encodeItems(items);
-        for (int i = 0; i < parts.size(); i++) {
-            accept.put(ServingKeys.itemPart(jobId, i), parts.get(i), 0);
-        }
+        itemParts(jobId, items).forEach(part -> accept.put(part.key(), part.value(), 0));
         return mStore.commit(accept);
     }
 
@@ -95,6 +134,7 @@
      *
      * @param number number of the segment
      * @param segment encoded segment
+     * @param maxValueBytes size of the largest value to write, bytes
      * @param summary new summary for all hosts; null to keep the stored one
      */
     Future<StoreResult> appendSegment(
@@ -102,12 +142,14 @@
             long ownerRevision,
             int number,
             byte[] segment,
+            int maxValueBytes,
             @Nullable JobSummary summary) {
         StoreTransaction append =
                 new StoreTransaction()
                         .ifUnchanged(ServingKeys.owner(jobId), ownerRevision)
-                        .ifAbsent(ServingKeys.segment(jobId, number))
-                        .put(ServingKeys.segment(jobId, number), segment, 0);
+                        .ifAbsent(ServingKeys.segment(jobId, number));
+        ValueParts.split(ServingKeys.segment(jobId, number), segment, maxValueBytes)
+                .forEach(part -> append.put(part.key(), part.value(), 0));
         if (summary != null) {
             append.put(ServingKeys.job(jobId), JobCodec.encodeSummary(summary), 0);
         }
@@ -145,12 +187,14 @@
     }
 
     Future<List<JobItem>> readItems(String jobId) {
-        return mStore.list(ServingKeys.itemsPrefix(jobId))
+        String prefix = ServingKeys.itemsPrefix(jobId);
+        return mStore.list(prefix)
                 .compose(
                         listing -> {
                             try {
                                 return Future.succeededFuture(
-                                        JobCodec.decodeItems(listing.entries()));
+                                        JobCodec.decodeItems(
+                                                ValueParts.join(prefix, listing.entries())));
                             } catch (SesamepinException e) {
                                 return Future.failedFuture(e);
                             }
@@ -158,11 +202,13 @@
     }
 
     Future<StoredResults> readResults(String jobId) {
-        return mStore.list(ServingKeys.resultsPrefix(jobId))
+        String prefix = ServingKeys.resultsPrefix(jobId);
+        return mStore.list(prefix)
                 .compose(
                         listing -> {
                             try {
-                                return Future.succeededFuture(decodeResults(listing.entries()));
+                                return Future.succeededFuture(
+                                        decodeResults(ValueParts.join(prefix, listing.entries())));
                             } catch (SesamepinException e) {
                                 return Future.failedFuture(e);
                             }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -22,6 +22,7 @@
     private long mRouteMissingSinceNanos;
     private @Nullable SegmentWrite mPendingWrite;
     private long mLastPublicationNanos;
+    private int mRejectedWrites;
 
     /**
      * The write of a segment that was sent to the store.
@@ -29,6 +30,8 @@
      * @param number number of the segment
      * @param resultCount number of results in the segment
      * @param value encoded segment
+     * @param maxValueBytes size of the largest value into which the segment is split, bytes
+     * @param isFull whether finished results were left out that did not fit
      * @param summary the job's summary after the write
      * @param updatesSummary whether the write also stores the summary, which every host watches
      */
@@ -36,6 +39,8 @@
             int number,
             int resultCount,
             byte[] value,
+            int maxValueBytes,
+            boolean isFull,
             JobSummary summary,
             boolean updatesSummary) {}
 
@@ -118,6 +123,15 @@
         mPendingWrite = pendingWrite;
     }
 
+    /** Returns how many writes of the job's results the store has rejected for good. */
+    int rejectedWrites() {
+        return mRejectedWrites;
+    }
+
+    void recordRejectedWrite() {
+        mRejectedWrites++;
+    }
+
     /** Suspends all runs; their items stay open. */
     void suspendRuns() {
         for (ItemRun run : List.copyOf(mRuns.values())) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
@@ -8,6 +8,7 @@
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.node.serving.HostLease;
 import org.sesamepin.node.serving.ServingContext;
+import org.sesamepin.node.spi.StoreRejectedException;
 import org.sesamepin.node.spi.StoreResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,7 +16,8 @@
 /**
  * Appends the results of owned jobs to the store, one segment of a job at a time. A segment whose
  * write has an unknown outcome is written again unchanged; if the store rejects that write, the
- * stored results show whether an earlier attempt took effect. Confined to the event loop.
+ * stored results show whether an earlier attempt took effect. A segment that the store rejects for
+ * good is replaced by a smaller one. Confined to the event loop.
  */
 final class ResultPublisher {
     private static final Logger LOG = LoggerFactory.getLogger(ResultPublisher.class);
@@ -27,7 +29,10 @@
      */
     private static final double SUMMARY_UPDATE_FRACTION = 0.04;
 
-    private static final int MAX_SEGMENT_CHARS = 600_000;
+    /** Size below which a value is not reduced after the store has rejected it, bytes. */
+    private static final int MIN_VALUE_BYTES = 16 << 10;
+
+    private static final long MAX_REJECTED_DELAY_MS = 5_000;
 
     private final ServingContext mContext;
     private final JobStorage mStorage;
@@ -64,10 +69,12 @@
         if (job.pendingWrite() != null) {
             return Future.succeededFuture();
         }
-        List<JobResult> results = job.progress().unpublishedResults(MAX_SEGMENT_CHARS);
-        if (results.isEmpty()) {
+        if (job.progress().unpublishedCount() == 0) {
             return Future.succeededFuture();
         }
+        int maxValueBytes = maxValueBytes(job);
+        List<JobResult> results =
+                job.progress().unpublishedResults(JobStorage.groupBytes(maxValueBytes));
         JobSummary summary = job.summary();
         JobSummary updated =
                 summary.withProgress(
@@ -81,6 +88,8 @@
                         summary.segments(),
                         results.size(),
                         JobCodec.encodeSegment(segment),
+                        maxValueBytes,
+                        results.size() < job.progress().unpublishedCount(),
                         updated,
                         mustUpdateSummary(job, updated));
         job.setPendingWrite(write);
@@ -88,18 +97,28 @@
         return append(job, write);
     }
 
+    /** Returns the size of the largest value to write, halved by each rejected write, bytes. */
+    private int maxValueBytes(OwnedJob job) {
+        int halved = mStorage.maxValueBytes() >> Math.min(job.rejectedWrites(), Integer.SIZE - 2);
+        return Math.max(halved, Math.min(MIN_VALUE_BYTES, mStorage.maxValueBytes()));
+    }
+
     private Future<Void> append(OwnedJob job, OwnedJob.SegmentWrite write) {
         return mStorage.appendSegment(
                         job.id(),
                         job.ownerRevision(),
                         write.number(),
                         write.value(),
+                        write.maxValueBytes(),
                         write.updatesSummary() ? write.summary() : null)
                 .transform(
                         done -> {
                             if (done.succeeded()) {
                                 return onAppendReply(job, write, done.result());
                             }
+                            if (done.cause() instanceof StoreRejectedException rejection) {
+                                return onAppendRejected(job, write, rejection);
+                            }
                             LOG.warn(
                                     "step=publish job={} segment={} outcome=unknown cause={}",
                                     job.id(),
@@ -134,6 +153,33 @@
                         });
     }
 
+    /**
+     * Publishes fewer results at once and in smaller values, after a delay that grows with the
+     * number of rejections.
+     */
+    private Future<Void> onAppendRejected(
+            OwnedJob job, OwnedJob.SegmentWrite write, StoreRejectedException rejection) {
+        LOG.error(
+                "step=publish job={} segment={} results={} bytes={} max_value_bytes={}"
+                        + " outcome=rejected cause={}",
+                job.id(),
+                write.number(),
+                write.resultCount(),
+                write.value().length,
+                write.maxValueBytes(),
+                rejection.getMessage());
+        job.recordRejectedWrite();
+        long delayMs = Math.min(MAX_REJECTED_DELAY_MS, RETRY_DELAY_MS * job.rejectedWrites());
+        return mContext.vertx()
+                .timer(delayMs, TimeUnit.MILLISECONDS)
+                .compose(
+                        t -> {
+                            job.setPendingWrite(null);
+                            boolean shouldRetry = mOwnedJobs.isCurrent(job) && !mStopping;
+                            return shouldRetry ? publish(job) : Future.succeededFuture();
+                        });
+    }
+
     private Future<Void> onAppendReply(
             OwnedJob job, OwnedJob.SegmentWrite write, StoreResult result) {
         if (!result.committed()) {
@@ -198,6 +244,8 @@
         mIndex.applyOwnWrite(job.id(), write.summary(), summaryRevision);
         if (job.progress().isComplete()) {
             mOwnedJobs.remove(job, "complete");
+        } else if (write.isFull() && !mStopping) {
+            publish(job);
         }
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -10,6 +10,7 @@
 import org.sesamepin.core.prompt.PromptSuspects;
 import org.sesamepin.core.target.TargetSelector;
 import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.job.JobContentReader;
 import org.sesamepin.node.job.JobIndex;
 import org.sesamepin.node.job.JobRequestHandler;
 import org.sesamepin.node.job.JobRunner;
@@ -80,6 +81,7 @@
     private final ServingContext mContext;
     private final JobRunner mJobRunner;
     private final JobRequestHandler mJobRequestHandler;
+    private final JobContentReader mJobContentReader;
 
     /**
      * Creates a node without starting it.
@@ -119,7 +121,7 @@
                         () -> watchIntervalMs(TARGET_WATCHES_PER_S, MAX_TARGET_INTERVAL_MS));
         mLease = newLease(store, incarnation);
         JobIndex jobIndex = new JobIndex();
-        JobStorage jobStorage = new JobStorage(store);
+        JobStorage jobStorage = new JobStorage(store, settings.maxStoreValueBytes());
         mPlacementClient = newPlacementClient();
         mLoopLag = new EventLoopLag(vertx, mTicker);
         mPromptGuard = newPromptGuard(store);
@@ -148,6 +150,9 @@
                         mPeers,
                         mPeerClient,
                         mControlMirror::watchNow);
+        mJobContentReader =
+                new JobContentReader(
+                        mContext, jobStorage, jobIndex, mJobRunner, mPeers, mPeerClient);
         mReportExchange = newReportExchange(store, incarnation);
     }
 
@@ -251,11 +256,16 @@
         return mPeers.registered().size();
     }
 
-    /** Returns the handler of requests about jobs. */
+    /** Returns the handler of submissions and cancellations of jobs. */
     public JobRequestHandler jobs() {
         return mJobRequestHandler;
     }
 
+    /** Returns the reader of results and items of jobs. */
+    public JobContentReader jobContent() {
+        return mJobContentReader;
+    }
+
     /**
      * Returns whether rendezvous hashing over all registered hosts selects this host for {@code
      * key}.
@@ -308,7 +318,7 @@
                 });
         server.registerHandler(
                 PeerRequest._Fields.JOB_READ,
-                request -> mJobRequestHandler.handleJobRead(request.getJobRead()));
+                request -> mJobContentReader.handleJobRead(request.getJobRead()));
         server.registerHandler(
                 PeerRequest._Fields.STORE_RELAY,
                 request -> mStoreRelay.handleRelay(request.getStoreRelay()));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingSettings.java
@@ -18,6 +18,7 @@
  * @param stopWithinMs time from the stop signal until the process is killed, milliseconds
  * @param jobRetentionMs how long the results of a job can be read after its acceptance,
  *     milliseconds
+ * @param maxStoreValueBytes size of the largest value that the store takes, bytes
  */
 public record ServingSettings(
         String host,
@@ -29,4 +30,5 @@
         List<InetSocketAddress> seeds,
         InetSocketAddress metricsAddress,
         long stopWithinMs,
-        long jobRetentionMs) {}
+        long jobRetentionMs,
+        int maxStoreValueBytes) {}
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -22,6 +22,9 @@
  * and peers are missing, so that items stay open. Confined to the event loop that creates it.
  */
 final class JobHost implements AutoCloseable {
+    /** Size of the largest value that the store is said to take, bytes. */
+    static final int MAX_VALUE_BYTES = 1 << 20;
+
     private static final long RETENTION_MS = 100_000;
 
     private final JobIndex mIndex = new JobIndex();
@@ -30,6 +33,7 @@
     private final JobRunner mRunner;
     private final StoreMirror mMirror;
     private final JobRequestHandler mHandler;
+    private final JobContentReader mReader;
 
     /** Starts a host. */
     JobHost(
@@ -44,7 +48,7 @@
         mLease =
                 new HostLease(
                         vertx, Ticker.SYSTEM, store, host, incarnation, "127.0.0.1:1", 1, () -> {});
-        JobStorage storage = new JobStorage(store);
+        JobStorage storage = new JobStorage(store, MAX_VALUE_BYTES);
         mRunner = new JobRunner(mFixture.context(), storage, mIndex, mLease, RETENTION_MS);
         mMirror =
                 new StoreMirror(
@@ -63,6 +67,14 @@
                         mFixture.peers(),
                         mFixture.peerClient(),
                         mMirror::watchNow);
+        mReader =
+                new JobContentReader(
+                        mFixture.context(),
+                        storage,
+                        mIndex,
+                        mRunner,
+                        mFixture.peers(),
+                        mFixture.peerClient());
         mLease.start();
         mMirror.start();
         mRunner.start(() -> {});
@@ -72,6 +84,10 @@
         return mHandler;
     }
 
+    JobContentReader reader() {
+        return mReader;
+    }
+
     JobIndex index() {
         return mIndex;
     }
@@ -86,6 +102,18 @@
         return mRunner.ownedJob(jobId) != null;
     }
 
+    /** Completes an item of a job that this host runs. */
+    void complete(String jobId, int index, String output) {
+        OwnedJob job = mRunner.ownedJob(jobId);
+        if (job == null) {
+            throw new IllegalStateException("this host does not run " + jobId);
+        }
+        long nowNanos = mFixture.context().ticker().nanoTime();
+        job.progress().recordStart(index, nowNanos);
+        job.progress().appendEvent(index, 1, output);
+        job.progress().recordCompletion(index);
+    }
+
     /** Returns a configuration with one route and no targets. */
     static ServingConfig configOf(ServingRoute route) {
         return new ServingConfig(1, List.of(route), List.of(), null, ConnectionLimits.DEFAULT);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
@@ -101,7 +101,7 @@
     private void storeJobOfEndedProcess(MemoryStore store, String jobId) throws Exception {
         runOnEventLoop(
                 () ->
-                        new JobStorage(store)
+                        new JobStorage(store, JobHost.MAX_VALUE_BYTES)
                                 .accept(
                                         jobId,
                                         new JobSummary("c", "r", 1, 0, 0, 10, 0),
@@ -151,7 +151,7 @@
                     host.stopWatching();
                     return null;
                 });
-        runOnEventLoop(() -> new JobStorage(store).markCancelled("job"));
+        runOnEventLoop(() -> new JobStorage(store, JobHost.MAX_VALUE_BYTES).markCancelled("job"));
         int commits = read(store::commits);
         awaitTrue("the host has tried to claim", () -> store.commits() > commits);
         assertFalse(read(() -> host.runs("job")));
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -18,6 +18,7 @@
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
+import org.sesamepin.node.spi.StoreRejectedException;
 import org.sesamepin.node.spi.StoreRelayCall;
 import org.sesamepin.node.spi.StoreResult;
 import org.sesamepin.node.spi.StoreTransaction;
@@ -41,6 +42,8 @@
         LATE
     }
 
+    private static final int PAYLOAD_TOO_LARGE = 413;
+
     private record PendingWatch(String prefix, long afterRevision, Promise<StoreChanges> promise) {}
 
     private final TreeMap<String, StoreEntry> mEntries = new TreeMap<>();
@@ -53,6 +56,8 @@
     private long mRevision = 1;
     private long mLastLease;
     private int mCommits;
+    private int mMaxValueBytes = Integer.MAX_VALUE;
+    private int mRejectedWrites;
     private int mFailingLists;
     private Supplier<Fault> mFaultSource = () -> Fault.NONE;
 
@@ -69,6 +74,16 @@
         mFaultSource = faultSource;
     }
 
+    /** Sets the size beyond which values are rejected for good, bytes. */
+    public void setMaxValueBytes(int maxValueBytes) {
+        mMaxValueBytes = maxValueBytes;
+    }
+
+    /** Returns the number of transactions that were rejected for good. */
+    public int rejectedWrites() {
+        return mRejectedWrites;
+    }
+
     /** Makes the next {@code count} reads of lists fail. */
     public void failNextLists(int count) {
         mFailingLists = count;
@@ -171,6 +186,11 @@
         if (fault == Fault.REFUSED) {
             return fail(Execution.NOT_RUN);
         }
+        if (isTooLarge(transaction)) {
+            mRejectedWrites++;
+            return Future.failedFuture(
+                    new StoreRejectedException(Step.STORE_WRITE, PAYLOAD_TOO_LARGE));
+        }
         if (fault == Fault.LOST) {
             return fail(Execution.UNKNOWN);
         }
@@ -187,6 +207,11 @@
         return isAnswerLost ? fail(Execution.UNKNOWN) : Future.succeededFuture(result);
     }
 
+    private boolean isTooLarge(StoreTransaction transaction) {
+        return transaction.writes().stream()
+                .anyMatch(write -> write.value().length > mMaxValueBytes);
+    }
+
     private static <T> Future<T> fail(Execution execution) {
         return Future.failedFuture(
                 new SesamepinException(Step.STORE_WRITE, "store", execution, "scripted", null));
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -27,6 +27,7 @@
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.node.job.JobContentReader;
 import org.sesamepin.node.job.JobRequestHandler;
 import org.sesamepin.node.job.MemoryStore;
 import org.sesamepin.node.spi.StoreChanges;
@@ -108,9 +109,14 @@
                     return jobs.findSummary(jobId)
                             .compose(
                                     summary ->
-                                            jobs.readResults(
-                                                    jobId, Objects.requireNonNull(summary), 0, 0))
-                            .map(JobRequestHandler.Page::results);
+                                            mNodes.get(node)
+                                                    .jobContent()
+                                                    .readResults(
+                                                            jobId,
+                                                            Objects.requireNonNull(summary),
+                                                            0,
+                                                            0))
+                            .map(JobContentReader.Page::results);
                 });
     }
 
@@ -200,7 +206,8 @@
                 List.of(),
                 freeAddress(),
                 8_000,
-                60_000);
+                60_000,
+                1 << 20);
     }
 
     private static InetSocketAddress freeAddress() throws Exception {
