Keep the outcome of a relayed store call unknown when the peer got no answer

What callers would see (REFUSED): 503 "not run" for a job that runs. While the store turns a host away, an acceptance goes through a peer; the peer's failure was read as "not run" whatever had happened to the call.

Fix: the peer replies with status 504, which the store client takes for an unknown outcome, as any status of 500 and above but 503.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerStoreRelay.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerStoreRelay.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.node.peer.PeerClient;
@@ -23,6 +24,9 @@
 final class PeerStoreRelay {
     private static final long MARGIN_MS = 300;
 
+    /** Status of a relayed reply when the store did not answer, so that the outcome is unknown. */
+    private static final int STATUS_GATEWAY_TIMEOUT = 504;
+
     private final PeerTable mPeers;
     private final PeerClient mPeerClient;
     private final WatchableStore mStore;
@@ -67,12 +71,22 @@
                 .map(reply -> new StoreRelayCall.Reply(reply.getStatus(), reply.getBody()));
     }
 
-    /** Makes a call to the store for a peer. */
+    /**
+     * Makes a call to the store for a peer. A call that the store may have executed without an
+     * answer gets a reply with status 504; a failure would tell the peer that it was not executed.
+     */
     Future<PeerReply> handleRelay(StoreRelay relay) {
         StoreRelayCall call =
                 new StoreRelayCall(
                         relay.getMethod(), relay.getUri(), relay.getBody(), relay.getTimeoutMs());
         return mStore.relay(call)
+                .recover(
+                        e ->
+                                wasNotRun(e)
+                                        ? Future.failedFuture(e)
+                                        : Future.succeededFuture(
+                                                new StoreRelayCall.Reply(
+                                                        STATUS_GATEWAY_TIMEOUT, new byte[0])))
                 .map(
                         reply -> {
                             StoreRelayReply relayReply = new StoreRelayReply();
@@ -81,4 +95,8 @@
                             return PeerReply.storeRelay(relayReply);
                         });
     }
+
+    private static boolean wasNotRun(Throwable e) {
+        return e instanceof SesamepinException failure && failure.execution() == Execution.NOT_RUN;
+    }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ScriptedStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ScriptedStore.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Function;
+import org.sesamepin.core.error.Execution;
+import org.sesamepin.core.error.SesamepinException;
+import org.sesamepin.core.error.Step;
 import org.sesamepin.node.spi.StoreChange;
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
@@ -25,6 +28,7 @@
     private final List<Long> mWatchedFrom = new ArrayList<>();
     private long mRevision = 10;
     private int mListCalls;
+    private Execution mExecutionOfRelays = Execution.NOT_RUN;
 
     /** Writes a key without notifying the pending watch. */
     void write(String key, String value) {
@@ -33,6 +37,11 @@
         mEntries.put(key, new StoreEntry(key, bytes, mRevision));
     }
 
+    /** Sets what relayed calls fail with. */
+    void failRelaysWith(Execution execution) {
+        mExecutionOfRelays = execution;
+    }
+
     /** Completes the pending watch with the current entry of {@code key}. */
     void deliverChange(String key) {
         StoreEntry entry = mEntries.get(key);
@@ -109,7 +118,9 @@
 
     @Override
     public Future<StoreRelayCall.Reply> relay(StoreRelayCall call) {
-        return Future.failedFuture("not supported by this store");
+        return Future.failedFuture(
+                new SesamepinException(
+                        Step.STORE_WRITE, "store", mExecutionOfRelays, "scripted", null));
     }
 
     @Override
