Remove all entries of an old job from the store

Cause: the removal deleted at most 30 entries of a job's content together with the job's key, and what was left was never found again. Values that are split over entries make such jobs more frequent.

Evidence: removalOfALargeJobLeavesNoEntries left 70 entries before.

Fix: content goes in batches, the job's key with the last one, so that an interrupted removal is repeated.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -22,11 +22,13 @@
  */
 public final class JobStorage {
     private static final byte[] CANCELLATION_MARK = {'1'};
-    private static final int MAX_REMOVED_ENTRIES = 30;
 
     /** Comparisons, writes and deletions that the store takes in one transaction. */
     private static final int MAX_TRANSACTION_ENTRIES = 32;
 
+    /** Entries of a job's content that are removed at once, beside the job and its cancellation. */
+    private static final int MAX_REMOVED_ENTRIES = MAX_TRANSACTION_ENTRIES - 2;
+
     /**
      * All results of a job that are in the store.
      *
@@ -226,20 +228,24 @@
         return new StoredResults(results, entries.size(), failures);
     }
 
-    /** Removes a job whose results no longer have to be readable, with its items and results. */
+    /**
+     * Removes a job whose results no longer have to be readable, with its items and results. The
+     * job's own key goes last, so that an interrupted removal is found and repeated.
+     */
     Future<Void> remove(String jobId) {
         return mStore.list(ServingKeys.contentPrefix(jobId))
-                .compose(
-                        listing -> {
-                            StoreTransaction remove =
-                                    new StoreTransaction()
-                                            .delete(ServingKeys.job(jobId))
-                                            .delete(ServingKeys.cancellation(jobId));
-                            listing.entries().stream()
-                                    .limit(MAX_REMOVED_ENTRIES)
-                                    .forEach(entry -> remove.delete(entry.key()));
-                            return mStore.commit(remove);
-                        })
-                .mapEmpty();
+                .compose(listing -> removeContent(jobId, listing.entries()));
+    }
+
+    private Future<Void> removeContent(String jobId, List<StoreEntry> content) {
+        StoreTransaction remove = new StoreTransaction();
+        int count = Math.min(content.size(), MAX_REMOVED_ENTRIES);
+        content.subList(0, count).forEach(entry -> remove.delete(entry.key()));
+        if (count == content.size()) {
+            remove.delete(ServingKeys.job(jobId)).delete(ServingKeys.cancellation(jobId));
+            return mStore.commit(remove).mapEmpty();
+        }
+        return mStore.commit(remove)
+                .compose(done -> removeContent(jobId, content.subList(count, content.size())));
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/ValueSizeTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/ValueSizeTest.java
@@ -28,6 +28,8 @@
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.node.job.JobRequestHandler.Acceptance;
+import org.sesamepin.node.serving.ServingKeys;
+import org.sesamepin.node.spi.StoreTransaction;
 
 /** Checks that items and results of any size reach the store in values that it takes. */
 class ValueSizeTest {
@@ -215,4 +217,18 @@
         assertEquals(Acceptance.TOO_LARGE, accept(items));
         assertEquals(0, read(() -> mStore.countKeys("sesamepin/content/")));
     }
+
+    /** The removal of an old job must leave none of its entries behind, however many there are. */
+    @Test
+    void removalOfALargeJobLeavesNoEntries() throws Exception {
+        StoreTransaction content = new StoreTransaction();
+        for (int i = 0; i < 100; i++) {
+            content.put(ServingKeys.segment("old", i), "{}");
+        }
+        content.put(ServingKeys.job("old"), "{}");
+        runOnEventLoop(() -> mStore.commit(content));
+        runOnEventLoop(() -> new JobStorage(mStore, MAX_VALUE_BYTES).remove("old"));
+        assertEquals(0, read(() -> mStore.countKeys(ServingKeys.contentPrefix("old"))));
+        assertEquals(0, read(() -> mStore.countKeys(ServingKeys.job("old"))));
+    }
 }
