Probe a quarantined item after seconds, on the host that runs its job

Cause: an item that ran at three targets as they ended is suspected, also when they ended for another reason, and was held for ten minutes. After that only the host that rendezvous hashing selects may probe, while an item is run by its owner alone, so most items were never probed.

Evidence: the users' logs name quarantines of "item:" parts with an end ten minutes ahead. PromptThatEndsTargetsTest.anItemUnderWhichTargets- EndedByChanceIsDoneSoon fails on: not done after 18 s.

Fix: a suspect that holds a single item is probed by any host that asks, which is the owner; first after 4 s, then after twice as long each time.

Ruled out: a shared part in quarantine (the other part of the test's item is answered all the time); a lost acceptance.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
@@ -19,6 +19,9 @@
     /** Prefix of the part that stands for the whole content of a request. */
     private static final String WHOLE_PREFIX = "whole:";
 
+    /** Prefix of the part that stands for one item of a job. */
+    private static final String ITEM_PREFIX = "item:";
+
     private static final int MAX_PARTS = 16;
     private static final int MAX_ID_CHARS = 64;
     private static final int WHOLE_DIGEST_CHARS = 48;
@@ -30,13 +33,13 @@
 
     /**
      * Returns parts of bounded number and length for ids that a caller has sent: the first 16, with
-     * an id of more than 64 characters, or one that looks like {@link #ofContent}'s, replaced by
-     * its digest.
+     * an id of more than 64 characters, or one that looks like {@link #ofContent}'s or {@link
+     * #withItem}'s, replaced by its digest.
      */
     public static PromptParts ofCallerIds(List<String> ids) {
         List<String> bounded = new ArrayList<>();
         for (String id : ids.subList(0, Math.min(ids.size(), MAX_PARTS))) {
-            boolean usable = id.length() <= MAX_ID_CHARS && !isWhole(id);
+            boolean usable = id.length() <= MAX_ID_CHARS && !isWhole(id) && !isItem(id);
             bounded.add(usable ? id : digest(id));
         }
         return new PromptParts(bounded);
@@ -66,10 +69,18 @@
         return HexFormat.of().formatHex(KeyDigest.sha256().digest(bytes));
     }
 
-    /** Returns these parts and one more. */
-    public PromptParts with(String id) {
+    /** Returns whether a part stands for one item of a job. */
+    static boolean isItem(String id) {
+        return id.startsWith(ITEM_PREFIX);
+    }
+
+    /**
+     * Returns these parts and one that stands for an item of a job. An item is sent again after
+     * each interruption, so its own content can end several targets.
+     */
+    public PromptParts withItem(String itemId) {
         List<String> parts = new ArrayList<>(shared);
-        parts.add(id);
+        parts.add(ITEM_PREFIX + itemId);
         return new PromptParts(parts);
     }
 
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -14,6 +14,14 @@
  */
 public final class PromptQuarantine {
     private static final long FIRST_DURATION_MS = TimeUnit.MINUTES.toMillis(10);
+
+    /**
+     * First duration for a single item of a job. An item that met the ends of several targets by
+     * chance has to be done before its job is due; one that is the cause ends few further targets,
+     * since the duration doubles with each.
+     */
+    private static final long FIRST_ITEM_DURATION_MS = TimeUnit.SECONDS.toMillis(4);
+
     private static final long MAX_DURATION_MS = TimeUnit.HOURS.toMillis(24);
 
     /** Time in which a probe is answered or has failed. */
@@ -31,7 +39,8 @@
     public record Entry(Suspect suspect, long sinceMs, long untilMs) {
         /** Returns the entry of a suspect that was identified now. */
         public static Entry startingAt(Suspect suspect, long nowMs) {
-            return new Entry(suspect, nowMs, nowMs + FIRST_DURATION_MS);
+            long durationMs = suspect.isSingleItem() ? FIRST_ITEM_DURATION_MS : FIRST_DURATION_MS;
+            return new Entry(suspect, nowMs, nowMs + durationMs);
         }
 
         /** Returns the entry after a probe that ended another target. */
@@ -119,7 +128,7 @@
 
     /**
      * Returns whether a request that {@code entry} blocks may be sent as the probe. Only one host
-     * may ask.
+     * may ask; for a single item that is the one that runs its job.
      */
     public boolean startProbe(Entry entry, String requestId, long nowMs) {
         if (nowMs < entry.untilMs()) {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
@@ -65,4 +65,27 @@
         mQuarantine.prolongAfterEnd("s", BAD, TEN_MINUTES_MS);
         assertEquals(3 * TEN_MINUTES_MS, blocking().untilMs());
     }
+
+    /** Guards against an item that waits for minutes, although its job is due in seconds. */
+    @Test
+    void aSingleItemIsProbedAfterSecondsAndThenLessAndLessOften() {
+        PromptParts item = new PromptParts(List.of("first")).withItem("i");
+        Suspect suspect = new Suspect("s", Set.of("item:i"));
+        mQuarantine.add(PromptQuarantine.Entry.startingAt(suspect, 0));
+        long nowMs = 0;
+        for (long durationMs = 4_000; durationMs <= 64_000; durationMs *= 2) {
+            PromptQuarantine.Entry entry = Objects.requireNonNull(mQuarantine.blocking("s", item));
+            assertFalse(mQuarantine.startProbe(entry, "i", nowMs + durationMs - 1));
+            nowMs += durationMs;
+            assertTrue(mQuarantine.startProbe(entry, "i", nowMs));
+            assertNotNull(mQuarantine.prolongAfterEnd("s", item, nowMs));
+        }
+    }
+
+    /** A caller must not pass off a part of its prompt as an item, which is probed more often. */
+    @Test
+    void partsThatCallersNameAreNoItems() {
+        PromptParts parts = PromptParts.ofCallerIds(List.of("item:i"));
+        assertFalse(new Suspect("s", Set.copyOf(parts.shared())).isSingleItem());
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -25,7 +25,6 @@
     private static final long MAX_SILENCE_MS = 2_000;
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int UNPROCESSABLE_CONTENT = 422;
-    private static final String ITEM_PART_PREFIX = "item:";
     private static final String DATA_FIELD = "data:";
 
     private final ServingContext mContext;
@@ -85,13 +84,10 @@
         mAttempt = new TargetAttempt(context, target, plan, this);
     }
 
-    /**
-     * Returns the parts of an item's prompt. The item itself is one of them: it is sent again after
-     * each interruption, so its own content can end targets too.
-     */
+    /** Returns the parts of an item's prompt; the item itself is one of them. */
     static PromptParts promptOf(ServingContext context, JobItem item) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(item.headers());
-        return context.protocol().promptParts(headers).with(ITEM_PART_PREFIX + item.id());
+        return context.protocol().promptParts(headers).withItem(item.id());
     }
 
     TargetInstance target() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -42,7 +42,7 @@
     private static final int RESERVED_SLOTS = 1;
 
     /** Interval at which items with prompts in quarantine are looked at again. */
-    private static final long QUARANTINE_CHECK_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long QUARANTINE_CHECK_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** A job and the slack of its next item, milliseconds. */
     private record JobSlack(OwnedJob job, long slackMs) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -106,9 +106,10 @@
         if (entry == null) {
             return null;
         }
+        Suspect suspect = entry.suspect();
+        boolean mayProbe = suspect.isSingleItem() || mHosts.isProberOf(suspect.label());
         boolean probe =
-                mHosts.isProberOf(entry.suspect().label())
-                        && mQuarantine.startProbe(entry, requestId, System.currentTimeMillis());
+                mayProbe && mQuarantine.startProbe(entry, requestId, System.currentTimeMillis());
         return probe ? null : entry;
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -101,6 +101,14 @@
         onLoop(() -> mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items));
     }
 
+    /** Returns the number of quarantines of prompts that a node knows. */
+    int quarantines(int node) throws Exception {
+        return onLoop(
+                () ->
+                        Future.succeededFuture(
+                                mNodes.get(node).context().promptGuard().quarantineCount()));
+    }
+
     /** Returns the published results of a job. */
     List<JobResult> results(int node, String jobId) throws Exception {
         return onLoop(
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -25,6 +26,10 @@
     private static final long LEARNING_WINDOW_MS = 3_000;
     private static final int MAX_ARRIVALS_AFTERWARDS = 3;
     private static final double MIN_SERVED = 0.5;
+
+    /** Time after the last disruption in which each accepted item has to be done. */
+    private static final long FINISH_MS = 18_000;
+
     private static final int SUBJECTS = 6;
     private static final String BAD = "bad";
     private static final String REFUSAL = ProblemType.PROMPT_QUARANTINED.label();
@@ -122,6 +127,32 @@
         }
     }
 
+    /**
+     * An item that ran at several targets when they ended must not wait for minutes: it may have
+     * met them by chance, and its job is due. Guards against an item that nobody runs or gives up.
+     */
+    @Test
+    void anItemUnderWhichTargetsEndedByChanceIsDoneSoon() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of())) {
+            fleet.start(NODES, TARGETS);
+            onLoop(fleet, () -> startSoundLoad(fleet));
+            onLoop(fleet, () -> fleet.targets().setBadRequestId("job0"));
+            fleet.submitJob(0, "job", List.of("first"));
+            awaitTrue(FINISH_MS, "the item is held back", () -> fleet.quarantines(0) > 0);
+            onLoop(fleet, () -> fleet.targets().setBadRequestId(""));
+            awaitTrue(FINISH_MS, "the item is done", () -> fleet.results(0, "job").size() == 1);
+        }
+    }
+
+    private static void awaitTrue(long timeoutMs, String what, Callable<Boolean> condition)
+            throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() - deadline < 0, what);
+            Thread.sleep(50);
+        }
+    }
+
     /** Sends sound and bad requests until all nodes refuse the bad ones. */
     private void learn(LoopbackFleet fleet) throws Exception {
         long timer = onLoopGet(fleet, () -> startLoad(fleet, List.of("first", BAD)));
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -35,6 +35,7 @@
     private final List<Long> mBadArrivalNanos = new ArrayList<>();
     private final Map<String, List<Long>> mArrivalNanos = new HashMap<>();
     private String mRequestLimit = "";
+    private String mBadRequestId = "";
     private int mStarted;
 
     StandInTargets(Vertx vertx, WatchableStore store, Set<String> badParts) {
@@ -61,7 +62,9 @@
     }
 
     private void answer(String id, HttpServerRequest request) {
-        boolean bad = request.headers().getAll("Part").stream().anyMatch(mBadParts::contains);
+        boolean hasBadPart =
+                request.headers().getAll("Part").stream().anyMatch(mBadParts::contains);
+        boolean bad = hasBadPart || mBadRequestId.equals(request.getHeader("Id"));
         if (bad) {
             mBadArrivalNanos.add(System.nanoTime());
         }
@@ -112,6 +115,11 @@
         mVertx.setTimer(REPLACEMENT_MS, t -> startOne());
     }
 
+    /** Sets the id of the request that ends each target; empty for none. */
+    void setBadRequestId(String id) {
+        mBadRequestId = id;
+    }
+
     /** Sets the requests per second that all targets name in their answers; empty for none. */
     void setRequestLimit(String limit) {
         mRequestLimit = limit;
