Take a response on a kept connection for a request only by its id

Cause: TargetAttempt compared the id only of responses that did not state "not executed"; a refusal of any request was believed.

Fix: each response has to carry the request's id; a refusal without one counts only as the first response on its connection. What does not belong to the request closes the connection and leaves its outcome unknown. The field of Plan now says what it asks for: a new connection.

Ruled out: requests that may run once; they have a connection each.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -183,7 +183,7 @@
                         remainingMs,
                         resumeAfter,
                         false,
-                        mRoute.kind().mayRepeat(),
+                        !mRoute.kind().mayRepeat(),
                         idleTimeoutMs());
         TargetAttempt attempt = new TargetAttempt(mContext, target, plan, this);
         mAttempt = attempt;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ResponseHead.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ResponseHead.java
@@ -7,7 +7,8 @@
  * The head of a target's response.
  *
  * @param status HTTP status
- * @param requestId id of the request that the response belongs to; null when the head has none
+ * @param requestId id of the request that the response belongs to; null when the head has none, all
+ *     ids joined when it has several
  * @param notExecuted whether the target states that it did not run the request
  * @param authentic whether the response carries the target's signature
  * @param encoded whether the body is encoded, in which case it is not the body that the target sent
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -19,6 +19,10 @@
  * One attempt to run a request at one target. Notifies its listener of exactly one end: not
  * executed, interrupted, or complete; a cancelled attempt notifies of nothing more. Bytes that do
  * not belong to the request close the connection.
+ *
+ * <p>A response belongs to the request when it carries the request's id. A refusal without an id
+ * counts only on a connection that carried no request before: on a kept connection it may be an
+ * earlier one, written once more.
  */
 public final class TargetAttempt {
     /** Receives the progress and the end of the attempt. */
@@ -59,8 +63,9 @@
      * @param resumeAfter id of the last event that was already received; null for a stream from its
      *     start
      * @param batch whether the request is a batch item
-     * @param repeatable whether the request may run more than once; otherwise it gets a new
-     *     connection, since a pooled connection may be closed just as the request is sent
+     * @param newConnection whether the request needs a connection of its own: because it may not
+     *     run twice, and a pooled connection may be closed just as the request is sent; or because
+     *     an earlier attempt with the same id may still be answered on a pooled one
      * @param idleTimeoutMs longest time without a byte of the response, milliseconds; 0 for no
      *     limit
      */
@@ -71,7 +76,7 @@
             long budgetMs,
             @Nullable String resumeAfter,
             boolean batch,
-            boolean repeatable,
+            boolean newConnection,
             long idleTimeoutMs) {}
 
     private static final int MISDIRECTED = 421;
@@ -95,6 +100,7 @@
     private long mEventCount;
     private final EventIntervalMeter mEventIntervals = new EventIntervalMeter();
     private boolean mSent;
+    private boolean mFirstOnConnection;
     private boolean mEnded;
 
     /** Creates an attempt; nothing is sent yet. */
@@ -135,7 +141,7 @@
                                                 mPlan.budgetMs(),
                                                 mPlan.resumeAfter()));
         mContext.targetClient()
-                .open(mTarget.id(), options, mPlan.repeatable())
+                .open(mTarget.id(), options, !mPlan.newConnection())
                 .onSuccess(this::onConnected)
                 .onFailure(e -> endNotExecuted(true, String.valueOf(e.getMessage())));
     }
@@ -156,6 +162,7 @@
             return;
         }
         mRequest = request;
+        mFirstOnConnection = mContext.targetClient().recordUse(request);
         mSent = true;
         mListener.onSent();
         if (mEnded) {
@@ -187,8 +194,12 @@
         response.exceptionHandler(
                 e -> endDisconnected("response was interrupted: " + e.getMessage()));
         ResponseHead head = mContext.protocol().readResponseHead(response);
-        if (!mPlan.head().id().equals(head.requestId()) && !head.notExecuted()) {
-            endInterrupted("response belongs to another request");
+        if (!isResponseToRequest(head)) {
+            endInterrupted(
+                    "response belongs to another request, id "
+                            + head.requestId()
+                            + " status "
+                            + head.status());
             return;
         }
         if (head.status() != MISDIRECTED) {
@@ -217,6 +228,14 @@
         }
     }
 
+    private boolean isResponseToRequest(ResponseHead head) {
+        if (head.requestId() != null) {
+            return head.requestId().equals(mPlan.head().id());
+        }
+        boolean isRefusal = head.notExecuted() || head.status() == MISDIRECTED;
+        return isRefusal && mFirstOnConnection;
+    }
+
     private void readStream(HttpClientResponse response, ResponseHead head) {
         response.handler(this::onStreamBytes);
         response.endHandler(v -> onStreamEnd());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -5,9 +5,13 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.Collections;
+import java.util.Set;
+import java.util.WeakHashMap;
 import org.sesamepin.core.bundle.Target;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
@@ -24,6 +28,8 @@
 
     private final HttpClientAgent mPooled;
     private final HttpClientAgent mUnpooled;
+    private final Set<HttpConnection> mUsedConnections =
+            Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
 
     /** Creates a client; connections are opened on demand. */
     public TargetClient(Vertx vertx) {
@@ -81,6 +87,16 @@
                                                 "cannot connect: " + e.getMessage())));
     }
 
+    /**
+     * Records that a request is being sent on its connection.
+     *
+     * @return whether it is the first one there, so that no response to an earlier request can
+     *     arrive in place of its own
+     */
+    public boolean recordUse(HttpClientRequest request) {
+        return mUsedConnections.add(request.connection());
+    }
+
     @Override
     public void close() {
         mPooled.close();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -118,7 +118,7 @@
                         PromptParts.NONE);
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
-                        head, Buffer.buffer("{}"), null, 5_000, null, batch, repeatable, 0);
+                        head, Buffer.buffer("{}"), null, 5_000, null, batch, !repeatable, 0);
         mVertx.runOnContext(
                 v -> {
                     TargetAttempt attempt =
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -12,8 +12,8 @@
 import org.sesamepin.node.http.Problem;
 
 /**
- * A protocol with the headers Id, After, Part, Signed, Not-Run and Events, whose configuration is
- * given and whose targets register as {@link StandInTargets} does.
+ * A protocol with the headers Id, After, Part, Signed, Not-Run, Events and Mark, whose
+ * configuration is given and whose targets register as {@link StandInTargets} does.
  */
 final class PlainProtocol implements FleetProtocol {
     private final ServingConfig mConfig;
@@ -81,7 +81,13 @@
                 false,
                 response.getHeader("Events") != null,
                 readLimit(response.getHeader("Limit")),
-                MultiMap.caseInsensitiveMultiMap());
+                forwardedHeaders(response));
+    }
+
+    private static MultiMap forwardedHeaders(HttpClientResponse response) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        String mark = response.getHeader("Mark");
+        return mark == null ? headers : headers.add("Mark", mark);
     }
 
     private static double readLimit(@Nullable String text) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -113,7 +113,7 @@
                         PromptParts.NONE);
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
-                        head, Buffer.buffer("{}"), null, 5_000, null, false, true, 0);
+                        head, Buffer.buffer("{}"), null, 5_000, null, false, false, 0);
         mVertx.runOnContext(
                 v -> new TargetAttempt(mFixture.context(), target, plan, new Recorder()).start());
         return mEnd.get(10, TimeUnit.SECONDS);
