Send a request again to the same target on a new connection

What callers see (own runs of the users: MIXED): an item listed as "errored" though its targets failed it once and the route allows three attempts; a target had written that failure again, late.

Cause: an item keeps its id from run to run, so on a kept connection the id does not tell the answer to this run from one to an earlier run.

Fix: a request that was sent to a target before gets a new connection.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -78,7 +78,7 @@
                         ITEM_BUDGET_MS,
                         lastEventId > 0 ? Long.toString(lastEventId) : null,
                         true,
-                        false,
+                        !job.recordTarget(index, target.incarnation()),
                         MAX_SILENCE_MS);
         mPromptLabel = head.prompt().label();
         mAttempt = new TargetAttempt(context, target, plan, this);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/OwnedJob.java
@@ -1,8 +1,10 @@
 package org.sesamepin.node.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.job.JobProgress;
 import org.sesamepin.core.job.JobSummary;
@@ -16,6 +18,7 @@
     private final long mOwnerRevision;
     private final JobProgress mProgress;
     private final Map<Integer, ItemRun> mRuns = new HashMap<>();
+    private final Map<Integer, Set<String>> mTargetsByItem = new HashMap<>();
     private JobSummary mSummary;
     private long mReportedOpenTokens;
     private boolean mRouteMissing;
@@ -76,6 +79,16 @@
         return mRuns;
     }
 
+    /**
+     * Records that an item is sent to a target.
+     *
+     * @param target incarnation of the target
+     * @return whether this host sends the item there for the first time
+     */
+    boolean recordTarget(int index, String target) {
+        return mTargetsByItem.computeIfAbsent(index, i -> new HashSet<>()).add(target);
+    }
+
     /**
      * Records that the configuration does not have the job's route.
      *
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -158,7 +158,7 @@
     private void sendTo(TargetInstance target, PlacementResult placement) {
         mSentAt = now();
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(mPolicy.remainingNanos(mSentAt));
-        mTriedTargets.add(target.incarnation());
+        boolean isNewTarget = mTriedTargets.add(target.incarnation());
         String resumeAfter = mLastEventId > 0 ? Long.toString(mLastEventId) : null;
         LOG.info(
                 "step=place request={} route={} customer={} service={} target={} occupancy={}"
@@ -183,7 +183,7 @@
                         remainingMs,
                         resumeAfter,
                         false,
-                        !mRoute.kind().mayRepeat(),
+                        !isNewTarget || !mRoute.kind().mayRepeat(),
                         idleTimeoutMs());
         TargetAttempt attempt = new TargetAttempt(mContext, target, plan, this);
         mAttempt = attempt;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -10,6 +10,8 @@
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
+import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.serving.HostLease;
 import org.sesamepin.node.serving.ServingFixture;
@@ -18,8 +20,9 @@
 import org.sesamepin.node.serving.WatchRateLimiter;
 
 /**
- * The components of one host that accept and run jobs, on a store that the test supplies. Targets
- * and peers are missing, so that items stay open. Confined to the event loop that creates it.
+ * The components of one host that accept and run jobs, on a store that the test supplies. There are
+ * no peers, and no targets unless the test sets them, so that items stay open. Confined to the
+ * event loop that creates it.
  */
 final class JobHost implements AutoCloseable {
     /** Size of the largest value that the store is said to take, bytes. */
@@ -92,6 +95,11 @@
         return mIndex;
     }
 
+    /** Sets the targets that the host may use. */
+    void setTargets(List<TargetInstance> targets) {
+        mFixture.state().setTargets(new TargetDirectory(targets));
+    }
+
     /** Makes the host receive no further changes from the store. */
     void stopWatching() {
         mMirror.close();
