Continue a broken stream only by a stream from the next event on

API front end: it arises. streams.feature on: after a 404 to the resumed call the caller waits for good, since the head was written already; after a stream from its start, tokens come twice.

Cause: CompletionRequest took each answer below 500 for a first one and did not compare event numbers. Fix: once events were forwarded, only a stream from the next number on continues them (EventOrder); anything else is a failed attempt.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
@@ -19,6 +19,7 @@
     private final Consumer<Buffer> mEventConsumer;
     private Buffer mBuffer = Buffer.buffer();
     private @Nullable String mLastEventId;
+    private @Nullable String mCurrentEventId;
     private boolean mDone;
 
     /** Creates a parser; {@code events} receives each complete event with its final blank line. */
@@ -47,18 +48,26 @@
 
     private void emit(Buffer event) {
         String text = event.toString(StandardCharsets.UTF_8);
+        mCurrentEventId = null;
         for (String line : text.split("\n")) {
             if (line.startsWith(ID_FIELD)) {
-                mLastEventId = line.substring(ID_FIELD.length()).strip();
+                mCurrentEventId = line.substring(ID_FIELD.length()).strip();
+                mLastEventId = mCurrentEventId;
             }
         }
         mDone |= text.contains(DONE_EVENT);
         mEventConsumer.accept(event);
     }
 
-    /** Discards an incomplete event; called before the stream is resumed. */
+    /** Discards an incomplete event and a false end; called before the stream is resumed. */
     public void discardPartialEvent() {
         mBuffer = Buffer.buffer();
+        mDone = false;
+    }
+
+    /** Returns the id of the event that the consumer is receiving, or null when it has none. */
+    public @Nullable String currentEventId() {
+        return mCurrentEventId;
     }
 
     /** Returns the id of the last complete event that had one, or null. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -17,6 +17,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.prompt.PromptQuarantine;
+import org.sesamepin.node.http.EventOrder;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -42,6 +43,7 @@
     private static final int MIN_CHECK_INTERVAL_MS = 10;
 
     private final EventStreamParser mParser = new EventStreamParser(this::forwardEvent);
+    private final EventOrder mEventOrder = new EventOrder();
     private Buffer mBody = Buffer.buffer();
     private JsonObject mRequestJson = new JsonObject();
     private @Nullable Model mModel;
@@ -150,8 +152,7 @@
         RequestOptions options =
                 TargetClient.requestOptions(target, mRequest.method(), mRequest.path());
         KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
-        protocol.prepare(
-                options, target, mRequestId, hasForwarded() ? mParser.lastEventId() : null);
+        protocol.prepare(options, target, mRequestId, hasForwarded() ? mEventOrder.lastId() : null);
         int attempt = mAttempt;
         mLastProgressNanos = System.nanoTime();
         startProgressTimer(attempt, lease);
@@ -222,10 +223,20 @@
                     attempt, lease, responseFailure(lease, "status " + response.statusCode()));
             return;
         }
+        String type = response.getHeader("Content-Type");
+        boolean isStream = type != null && type.startsWith("text/event-stream");
+        if (hasForwarded() && !(isStream && response.statusCode() < MIN_CLIENT_ERROR_STATUS)) {
+            onAttemptFailed(
+                    attempt,
+                    lease,
+                    responseFailure(
+                            lease,
+                            "status " + response.statusCode() + " does not continue the stream"));
+            return;
+        }
         mTargetResponse = response;
         mLastProgressNanos = System.nanoTime();
-        String type = response.getHeader("Content-Type");
-        if (type != null && type.startsWith("text/event-stream")) {
+        if (isStream) {
             forwardStream(attempt, lease, response);
         } else {
             forwardWholeResponse(attempt, lease, response);
@@ -285,6 +296,13 @@
                                 responseFailure(lease, "an event of the stream is too large"));
                         return;
                     }
+                    if (!mEventOrder.isIntact()) {
+                        onAttemptFailed(
+                                attempt,
+                                lease,
+                                responseFailure(lease, "an event is missing or came twice"));
+                        return;
+                    }
                     applyBackpressure(response);
                 });
         response.exceptionHandler(e -> onAttemptFailed(attempt, lease, e));
@@ -320,6 +338,9 @@
     }
 
     private void forwardEvent(Buffer event) {
+        if (!mEventOrder.accept(mParser.currentEventId())) {
+            return;
+        }
         HttpServerResponse caller = mRequest.response();
         if (!hasForwarded()) {
             recordFirstByte();
@@ -353,13 +374,13 @@
         resetTargetRequest();
         releaseSlot(true);
         recordRetry(lease, cause);
-        boolean canContinue =
-                !hasForwarded() || (canResume(lease) && mParser.lastEventId() != null);
+        boolean canContinue = !hasForwarded() || (canResume(lease) && mEventOrder.lastId() != null);
         if (!canContinue) {
             fail(targetFailedProblem(lease, cause));
             return;
         }
         mParser.discardPartialEvent();
+        mEventOrder.resume();
         tryAgain();
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -207,9 +207,10 @@
         mPolicy.recordSend();
     }
 
+    /** Keeps the head of the first run of which events are forwarded; later runs continue it. */
     @Override
     public void onStreamStarted(ResponseHead head) {
-        if (mStreamHead == null) {
+        if (!mPolicy.hasForwarded()) {
             mStreamHead = head;
         }
     }
@@ -265,14 +266,13 @@
 
     @Override
     public void onResponse(ResponseHead head, Buffer body) {
-        recordFirstByte();
         if (mPolicy.hasForwarded()) {
-            apply(
-                    CallPolicy.NextAction.BREAK_OFF,
+            onInterrupted(
                     "the target that was to continue the stream replied with status "
                             + head.status());
             return;
         }
+        recordFirstByte();
         writeHead(head);
         mResponse.end(body);
         finish(head.isSuccess() ? "served" : "target-status-" + head.status(), "");
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/EventOrderTest.java
@@ -0,0 +1,46 @@
+package org.sesamepin.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against events that a resumed stream leaves out or repeats. */
+class EventOrderTest {
+    private final EventOrder mOrder = new EventOrder();
+
+    @Test
+    void eventsInOrderAreAccepted() {
+        assertTrue(mOrder.accept("4"));
+        assertTrue(mOrder.accept("5"));
+        assertTrue(mOrder.accept(null));
+        assertTrue(mOrder.accept("6"));
+        assertEquals("6", mOrder.lastId());
+    }
+
+    @Test
+    void repeatedEventIsNotAccepted() {
+        assertTrue(mOrder.accept("1"));
+        assertFalse(mOrder.accept("1"));
+        assertFalse(mOrder.isIntact());
+    }
+
+    @Test
+    void nothingIsAcceptedAfterAGapUntilTheStreamIsResumed() {
+        assertTrue(mOrder.accept("1"));
+        assertFalse(mOrder.accept("3"));
+        assertFalse(mOrder.accept("2"));
+        assertFalse(mOrder.accept(null));
+        mOrder.resume();
+        assertEquals("1", mOrder.lastId());
+        assertTrue(mOrder.accept("2"));
+    }
+
+    @Test
+    void idsThatAreNoNumbersAreNotCompared() {
+        assertTrue(mOrder.accept("a"));
+        assertTrue(mOrder.accept("b"));
+        assertTrue(mOrder.isIntact());
+    }
+}
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
@@ -29,8 +29,10 @@
  * <p>{@code POST /standin/faults} sets a fault. {@code die} resets all requests and closes the
  * connection of each new call until the fault {@code none} is set. {@code silent} stops sending
  * responses on the connections that are open at that moment, while new connections work. {@code
- * crossed} sends the next response under a wrong request id. The member {@code word} sets a poison
- * word: a prompt that contains it ends the engine, which starts again after a short time.
+ * crossed} sends the next response under a wrong request id. {@code no-resume} answers a call that
+ * resumes a stream with status 404, and {@code restart} with the stream from its start. The member
+ * {@code word} sets a poison word: a prompt that contains it ends the engine, which starts again
+ * after a short time.
  */
 public final class EngineStandIn extends StandInServer {
     private static final int DEFAULT_MAX_TOKENS = 16;
@@ -157,7 +159,13 @@
             HttpServerRequest request, JsonObject requestJson, String prompt, boolean chat) {
         String requestIdHeader = request.getHeader("X-Request-Id");
         String lastEventId = request.getHeader("Last-Event-ID");
-        int resumeOffset = lastEventId == null ? 0 : Integer.parseInt(lastEventId);
+        if (lastEventId != null && mFault.equals("no-resume")) {
+            request.response().putHeader("X-Request-Id", String.valueOf(requestIdHeader));
+            respond(request, 404, new JsonObject().put("error", "there is no such stream"));
+            return;
+        }
+        boolean resumes = lastEventId != null && !mFault.equals("restart");
+        int resumeOffset = resumes ? Integer.parseInt(lastEventId) : 0;
         int maxTokens = requestJson.getInteger("max_tokens", DEFAULT_MAX_TOKENS);
         boolean stream = Boolean.TRUE.equals(requestJson.getBoolean("stream"));
         String requestId = requestIdHeader == null ? "none" : requestIdHeader;
--- a/sesamepin-test/src/test/java/org/sesamepin/test/FleetSteps.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FleetSteps.java
@@ -1,6 +1,7 @@
 package org.sesamepin.test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cucumber.java.After;
@@ -93,18 +94,43 @@
         }
     }
 
-    private static void assertStreamComplete(HttpResponse<String> response, int tokens) {
-        String body = response.body();
-        assertEquals(200, response.statusCode(), body);
+    @Then("each of them gets the whole {int} tokens, or a part in order and an error event")
+    public void allStreamsAreCompleteOrBroken(int tokens) throws Exception {
+        int broken = 0;
+        for (CompletableFuture<HttpResponse<String>> pendingResponse : mPendingResponses) {
+            HttpResponse<String> response =
+                    pendingResponse.get(FleetWorld.STEP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            String body = response.body();
+            if (body.contains("data: [DONE]")) {
+                assertStreamComplete(response, tokens);
+                continue;
+            }
+            broken++;
+            int received = body.split("\"text\":\"w", -1).length - 1;
+            assertTokensInOrder(body, received);
+            assertTrue(body.contains("event: error"), body);
+            assertFalse(body.contains("there is no such stream"), body);
+        }
+        assertTrue(broken > 0, "no stream had to be continued");
+    }
+
+    private static void assertTokensInOrder(String body, int tokens) {
         int lastIndex = -1;
         for (int i = 0; i < tokens; i++) {
-            int index = body.indexOf("\"text\":\"w" + i + "-");
+            String token = "\"text\":\"w" + i + "-";
+            int index = body.indexOf(token);
             assertTrue(
                     index > lastIndex,
                     () -> "token missing, duplicated or out of order in " + body);
-            assertEquals(index, body.lastIndexOf("\"text\":\"w" + i + "-"), "duplicated token");
+            assertEquals(index, body.lastIndexOf(token), "duplicated token");
             lastIndex = index;
         }
+    }
+
+    private static void assertStreamComplete(HttpResponse<String> response, int tokens) {
+        String body = response.body();
+        assertEquals(200, response.statusCode(), body);
+        assertTokensInOrder(body, tokens);
         assertTrue(body.contains("data: [DONE]"), body);
     }
 
--- a/sesamepin-test/src/test/resources/features/streams.feature
+++ b/sesamepin-test/src/test/resources/features/streams.feature
@@ -13,6 +13,19 @@
       | die    |
       | silent |
 
+  # The answer of an engine that cannot continue a stream must not appear within it.
+  Scenario Outline: The engine that is to continue a stream answers it with <fault>
+    When 6 callers begin to stream 100 tokens through node 1
+    And all of them have begun
+    And engine 2 is "<fault>"
+    And engine 0 is "die"
+    And engine 1 is "die"
+    Then each of them gets the whole 100 tokens, or a part in order and an error event
+    Examples:
+      | fault     |
+      | no-resume |
+      | restart   |
+
   Scenario: An answer that belongs to another request is discarded
     When every engine is "crossed"
     And a caller streams 10 tokens through node 0
