Let an odd stored entry cost that entry alone

What operators saw (other operators: processes that end, LOST): after an entry nested very deeply, with a number too large or a port out of range among those of the targets, hosts stopped following the list.

It arises: 900 levels of nesting exhaust a stack of 256 kB. That error passed every handler of exceptions, and the watch was not sent again. Numbers past their type became other numbers, port 0 and 10.0.0.999 (looked up as a name) were accepted.

Fix: nesting is counted before parsing; whatever is wrong with a stored value is one checked error (StoredJson); fields have bounds; a listener that fails ends neither the mirror nor other listeners. Ruled out: wrong types, missing fields and ports above 65,535 were rejected before.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/config/PropertyDescriptor.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/config/PropertyDescriptor.java
@@ -16,8 +16,12 @@
  * @param <T> type of the parsed value
  */
 public final class PropertyDescriptor<T> {
+    /** A number from 0 to 255; anything larger would be looked up as the name of a host. */
+    private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1?\\d{1,2})";
+
     private static final Pattern IP_AND_PORT =
-            Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
+            Pattern.compile(
+                    "(" + OCTET + "(?:\\." + OCTET + "){3}|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
     private static final int MAX_PORT = 65_535;
     private static final int MAX_TEXT_CHARS = 1_024;
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchApi.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchApi.java
@@ -26,6 +26,7 @@
 import org.sesamepin.node.fleet.FleetView;
 import org.sesamepin.node.fleet.StoreKeys;
 import org.sesamepin.node.http.BodyReader;
+import org.sesamepin.node.http.BoundedJson;
 import org.sesamepin.node.http.Contexts;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -205,7 +206,7 @@
         JsonObject parameters;
         Duration window;
         try {
-            parameters = body.toJsonObject();
+            parameters = BoundedJson.parseObject(body.toString());
             window = parseCompletionWindow(parameters.getValue("completion_window"));
         } catch (DecodeException | ClassCastException e) {
             return Future.failedFuture(malformedRequest("the body is not a JSON object"));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/FileUpload.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/FileUpload.java
@@ -19,6 +19,7 @@
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.key.KeyDigest;
 import org.sesamepin.node.fleet.StoreKeys;
+import org.sesamepin.node.http.BoundedJson;
 import org.sesamepin.node.http.Contexts;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
@@ -102,7 +103,7 @@
         }
         JsonObject item;
         try {
-            item = new JsonObject(lineText);
+            item = BoundedJson.parseObject(lineText);
         } catch (DecodeException e) {
             rejectLine("not a JSON object");
             return;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
@@ -1,6 +1,5 @@
 package org.sesamepin.node.job;
 
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
@@ -9,12 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import org.sesamepin.core.error.SesamepinException;
-import org.sesamepin.core.error.Step;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.job.JsonText;
 import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoredJson;
 
 /** Encodes and decodes the values of jobs in the store, which are JSON. */
 final class JobCodec {
@@ -41,18 +40,9 @@
      */
     record Segment(long writer, List<JobResult> results, Map<String, Integer> failures) {}
 
-    /** Decodes a value; {@link #decode} reports a malformed one as an error of the store read. */
-    private interface Decoder<T> {
-        T decode(JsonObject json);
-    }
-
-    private static <T> T decode(StoreEntry entry, Decoder<T> decoder) throws SesamepinException {
-        try {
-            return decoder.decode(new JsonObject(entry.text()));
-        } catch (DecodeException | ClassCastException | NullPointerException e) {
-            throw new SesamepinException(
-                    Step.STORE_READ, entry.key(), "malformed value of a job: " + e);
-        }
+    private static <T> T decode(StoreEntry entry, StoredJson.Decoder<T> decoder)
+            throws SesamepinException {
+        return StoredJson.decode(entry.key(), entry.value(), decoder);
     }
 
     private static byte[] toBytes(JsonObject json) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -17,6 +17,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.prompt.PromptQuarantine;
+import org.sesamepin.node.http.BoundedJson;
 import org.sesamepin.node.http.EventOrder;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
@@ -74,7 +75,7 @@
 
     private Future<Void> parseBody(Buffer body) {
         try {
-            mRequestJson = body.toJsonObject();
+            mRequestJson = BoundedJson.parseObject(body.toString());
         } catch (DecodeException | ClassCastException e) {
             return Future.failedFuture(
                     new Problem(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -1,7 +1,6 @@
 package org.sesamepin.node.prompt;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
@@ -13,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.Suspect;
 import org.sesamepin.node.serving.StoreMirror;
@@ -21,6 +21,7 @@
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreTransaction;
+import org.sesamepin.node.spi.StoredJson;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -141,14 +142,9 @@
 
     private static PromptQuarantine.@Nullable Entry decode(StoreEntry stored) {
         try {
-            JsonObject json = new JsonObject(stored.text());
-            Set<String> parts = new HashSet<>();
-            json.getJsonArray("parts").forEach(part -> parts.add((String) part));
-            return new PromptQuarantine.Entry(
-                    new Suspect(json.getString("service"), parts),
-                    json.getLong("since_ms"),
-                    json.getLong("until_ms"));
-        } catch (DecodeException | ClassCastException | NullPointerException e) {
+            return StoredJson.decode(
+                    stored.key(), stored.value(), PromptQuarantineStore::decodeEntry);
+        } catch (SesamepinException e) {
             LOG.error(
                     "step=prompt-quarantine key={} outcome=unusable cause={}",
                     stored.key(),
@@ -157,6 +153,15 @@
         }
     }
 
+    private static PromptQuarantine.Entry decodeEntry(JsonObject json) {
+        Set<String> parts = new HashSet<>();
+        json.getJsonArray("parts").forEach(part -> parts.add((String) part));
+        return new PromptQuarantine.Entry(
+                new Suspect(json.getString("service"), parts),
+                json.getLong("since_ms"),
+                json.getLong("until_ms"));
+    }
+
     @Override
     public void onListing(StoreListing listing, boolean afterOutage) {
         mListed = true;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/MirrorFanOut.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/MirrorFanOut.java
@@ -8,11 +8,13 @@
 record MirrorFanOut(List<StoreMirror.Listener> listeners) implements StoreMirror.Listener {
     @Override
     public void onListing(StoreListing listing, boolean afterOutage) {
-        listeners.forEach(listener -> listener.onListing(listing, afterOutage));
+        listeners.forEach(
+                target -> StoreMirror.notify(target, l -> l.onListing(listing, afterOutage)));
     }
 
     @Override
     public void onChanges(StoreChanges changes, boolean afterOutage) {
-        listeners.forEach(listener -> listener.onChanges(changes, afterOutage));
+        listeners.forEach(
+                target -> StoreMirror.notify(target, l -> l.onChanges(changes, afterOutage)));
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -130,16 +130,7 @@
                 mCloser.add(
                         new JobRunner(
                                 mContext, jobStorage, jobIndex, mLease, settings.jobRetentionMs()));
-        mControlMirror =
-                newMirror(
-                        ServingKeys.CONTROL_PREFIX,
-                        new MirrorFanOut(
-                                List.of(
-                                        new PeerRegistrationListener(mPeers),
-                                        mLease,
-                                        jobIndex,
-                                        mPromptGuard.storeListener())),
-                        () -> watchIntervalMs(CONTROL_WATCHES_PER_S, MAX_CONTROL_INTERVAL_MS));
+        mControlMirror = newControlMirror(jobIndex);
         mJobRequestHandler =
                 new JobRequestHandler(
                         mContext,
@@ -231,6 +222,18 @@
                 mMetrics);
     }
 
+    private StoreMirror newControlMirror(JobIndex jobIndex) {
+        return newMirror(
+                ServingKeys.CONTROL_PREFIX,
+                new MirrorFanOut(
+                        List.of(
+                                new PeerRegistrationListener(mPeers),
+                                mLease,
+                                jobIndex,
+                                mPromptGuard.storeListener())),
+                () -> watchIntervalMs(CONTROL_WATCHES_PER_S, MAX_CONTROL_INTERVAL_MS));
+    }
+
     private StoreMirror newMirror(
             String prefix, StoreMirror.Listener listener, LongSupplier intervalMs) {
         WatchRateLimiter rateLimiter = new WatchRateLimiter(mTicker, intervalMs);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.sesamepin.node.spi.StoreChange;
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
@@ -131,7 +132,8 @@
         for (StoreEntry entry : listing.entries()) {
             mContentRevision = Math.max(mContentRevision, entry.modRevision());
         }
-        mListener.onListing(listing, endOutage());
+        boolean afterOutage = endOutage();
+        notify(mListener, listener -> listener.onListing(listing, afterOutage));
         listOrWatch(generation);
     }
 
@@ -147,7 +149,8 @@
             for (StoreChange change : changes.changes()) {
                 mContentRevision = Math.max(mContentRevision, change.revision());
             }
-            mListener.onChanges(changes, endOutage());
+            boolean afterOutage = endOutage();
+            notify(mListener, listener -> listener.onChanges(changes, afterOutage));
         }
         long delayMs = mRateLimiter.nextDelayMs();
         if (delayMs <= 0) {
@@ -163,6 +166,18 @@
                         });
     }
 
+    /**
+     * Notifies a listener. An error in it must neither end the mirror nor keep other listeners from
+     * being notified.
+     */
+    static void notify(Listener listener, Consumer<Listener> notification) {
+        try {
+            notification.accept(listener);
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("step=store-watch listener={} outcome=failed", listener.getClass(), e);
+        }
+    }
+
     private boolean endOutage() {
         boolean afterOutage = mConsecutiveFailures > 0;
         if (afterOutage) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
@@ -33,6 +33,10 @@
     private final ServingState mState;
     private final Map<String, TargetInstance> mTargets = new HashMap<>();
     private final Set<String> mMissingKeys = new HashSet<>();
+
+    /** Revisions of the entries that cannot be decoded, each of which is logged once. */
+    private final Map<String, Long> mUnusableRevisions = new HashMap<>();
+
     private boolean mKeepMissing;
     private long mKeepMissingUntil;
 
@@ -108,6 +112,7 @@
             TargetInstance target = mProtocol.decodeTarget(entry.key(), entry.value());
             TargetInstance previous = mTargets.put(entry.key(), target);
             mMissingKeys.remove(entry.key());
+            mUnusableRevisions.remove(entry.key());
             if (!target.equals(previous)) {
                 LOG.info(
                         "step=target target={} service={} address={} state={} store_revision={}"
@@ -121,6 +126,10 @@
             }
         } catch (SesamepinException e) {
             TargetInstance previous = mTargets.remove(entry.key());
+            Long reported = mUnusableRevisions.put(entry.key(), entry.modRevision());
+            if (reported != null && reported == entry.modRevision()) {
+                return;
+            }
             LOG.warn(
                     "step=target key={} former={} store_revision={} outcome=unusable cause={}",
                     entry.key(),
@@ -131,6 +140,7 @@
     }
 
     private void remove(String key) {
+        mUnusableRevisions.remove(key);
         if (!mTargets.containsKey(key)) {
             return;
         }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StoreMirrorTest.java
@@ -110,4 +110,36 @@
         assertEquals(watches + 1, mStore.watchedFrom().size());
         assertFalse(mMirror.isWatchDeferred());
     }
+
+    /** An entry that a listener cannot handle must not end the mirror or cost other listeners. */
+    @Test
+    void mirrorGoesOnAfterAListenerFailed() {
+        StoreMirror mirror =
+                new StoreMirror(
+                        mVertx,
+                        mStore,
+                        "config/",
+                        new MirrorFanOut(List.of(new FailingListener(), new Recorder())),
+                        mRateLimiter);
+        mStore.write("config/now", "1");
+        mirror.start();
+        mStore.write("config/now", "2");
+        mStore.deliverChange("config/now");
+        mStore.write("config/now", "3");
+        mStore.deliverChange("config/now");
+        assertEquals(
+                List.of("config/now=1", "changed config/now", "changed config/now"), mReceived);
+    }
+
+    private static final class FailingListener implements StoreMirror.Listener {
+        @Override
+        public void onListing(StoreListing listing, boolean afterOutage) {
+            throw new IllegalStateException("scripted");
+        }
+
+        @Override
+        public void onChanges(StoreChanges changes, boolean afterOutage) {
+            throw new StackOverflowError("scripted");
+        }
+    }
 }
