Send nothing more to a target whose answers say that it leaves

The host that reads the header leaves the incarnation out of its targets at once, whatever the registration says, for as long as it remembers: also when the entry lapses and comes back. Another incarnation under the same id or address is not affected. Every way to a target goes through the same check: waiting and returned requests, resumed streams, items, local placement, and once more when the request is about to be sent. A coordinator on another host learns it with each placement request (the incarnations to exclude) and each report (targets to avoid); a grant that still names the target makes the request ask again at once, where it was ignored until a timer ended.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Immutable snapshot of all registered targets. */
@@ -13,12 +14,23 @@
 
     private final Map<String, TargetInstance> mById = new HashMap<>();
     private final Map<String, List<TargetInstance>> mReadyByService = new HashMap<>();
+    private final Set<String> mLeaving;
 
     /** Creates a directory of {@code targets}. */
     public TargetDirectory(Iterable<TargetInstance> targets) {
+        this(targets, Set.of());
+    }
+
+    /**
+     * Creates a directory of {@code targets}.
+     *
+     * @param leaving incarnations that accept no requests, whatever their registration says
+     */
+    public TargetDirectory(Iterable<TargetInstance> targets, Set<String> leaving) {
+        mLeaving = Set.copyOf(leaving);
         for (TargetInstance target : targets) {
             mById.put(target.id(), target);
-            if (target.state().acceptsRequests()) {
+            if (acceptsRequests(target)) {
                 mReadyByService
                         .computeIfAbsent(target.service(), s -> new ArrayList<>())
                         .add(target);
@@ -26,6 +38,10 @@
         }
     }
 
+    private boolean acceptsRequests(TargetInstance target) {
+        return target.state().acceptsRequests() && !mLeaving.contains(target.incarnation());
+    }
+
     /** Returns the targets of {@code service} that accept requests. */
     public List<TargetInstance> readyTargets(String service) {
         return mReadyByService.getOrDefault(service, List.of());
@@ -42,7 +58,7 @@
         return current != null
                 && current.startedAtMs() == target.startedAtMs()
                 && current.address().equals(target.address())
-                && current.state().acceptsRequests();
+                && acceptsRequests(current);
     }
 
     /** Returns all targets by id. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -4,9 +4,11 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetRateLimits;
@@ -33,7 +35,10 @@
     private static final double MAX_ONLINE_OCCUPANCY = 2.0;
 
     private record WaitingRequest(
-            PlacementRequest request, Promise<PlacementResult> promise, long timerId) {}
+            PlacementRequest request,
+            Promise<PlacementResult> promise,
+            long timerId,
+            long sinceNanos) {}
 
     private final Vertx mVertx;
     private final Ticker mTicker;
@@ -134,7 +139,16 @@
                         });
     }
 
+    /** Returns the target with {@code id} if it accepts requests, or null. */
+    private @Nullable TargetInstance readyTarget(String id) {
+        TargetInstance target = mState.targets().get(id);
+        return target != null && mState.targets().isReady(target) ? target : null;
+    }
+
+    /** Encodes a request; the coordinator may not know yet which targets leave. */
     private PlaceAsk toMessage(PlacementRequest request) {
+        Set<String> excluded = new HashSet<>(request.excluded());
+        excluded.addAll(mState.leavingTargets());
         return new PlaceAsk(
                 request.id(),
                 mPeers.self(),
@@ -143,14 +157,14 @@
                 request.isRetry(),
                 request.latencyObjectiveMs(),
                 request.remainingMs(),
-                List.copyOf(request.excluded()));
+                List.copyOf(excluded));
     }
 
     private Future<PlacementResult> handleReply(
             PlacementRequest request, PlaceAnswer reply, String decider) {
         return switch (reply.getOutcome()) {
             case GRANTED -> {
-                TargetInstance target = mState.targets().get(reply.getTargetId());
+                TargetInstance target = readyTarget(reply.getTargetId());
                 yield Future.succeededFuture(
                         target == null
                                 ? placeLocally(request, "unknown-target")
@@ -168,18 +182,43 @@
     /** Waits for the coordinator's grant and sends the request again when none arrives in time. */
     private Future<PlacementResult> awaitGrant(PlacementRequest request) {
         Promise<PlacementResult> promise = Promise.promise();
-        long timer = mVertx.setTimer(GRANT_WAIT_MS, t -> retryPlacement(request.id()));
-        mWaitingRequests.put(request.id(), new WaitingRequest(request, promise, timer));
+        long timer = mVertx.setTimer(GRANT_WAIT_MS, t -> retryPlacement(request.id(), Set.of()));
+        mWaitingRequests.put(
+                request.id(), new WaitingRequest(request, promise, timer, mTicker.nanoTime()));
         return promise.future();
     }
 
-    private void retryPlacement(String requestId) {
+    /**
+     * Asks at once for another target for a request that waits.
+     *
+     * @param targetId id of the target that does not accept requests any more
+     */
+    private void askForAnother(String requestId, String targetId) {
+        WaitingRequest waiting = mWaitingRequests.get(requestId);
+        TargetInstance target = mState.targets().get(targetId);
+        if (waiting == null || target == null) {
+            return;
+        }
+        mVertx.cancelTimer(waiting.timerId());
+        retryPlacement(requestId, Set.of(target.incarnation()));
+    }
+
+    /**
+     * Sends a waiting request to the coordinator again.
+     *
+     * @param excluded incarnations to exclude in addition to those excluded before
+     */
+    private void retryPlacement(String requestId, Set<String> excluded) {
         WaitingRequest waiting = mWaitingRequests.remove(requestId);
         if (waiting == null) {
             return;
         }
         mLocalCoordinator.withdraw(requestId, waiting.request().service());
         PlacementRequest previous = waiting.request();
+        Set<String> allExcluded = new HashSet<>(previous.excluded());
+        allExcluded.addAll(excluded);
+        long waitedNanos = mTicker.nanoTime() - waiting.sinceNanos();
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(waitedNanos);
         PlacementRequest request =
                 new PlacementRequest(
                         requestId,
@@ -187,8 +226,8 @@
                         previous.rank(),
                         true,
                         previous.latencyObjectiveMs(),
-                        Math.max(0, previous.remainingMs() - GRANT_WAIT_MS),
-                        previous.excluded());
+                        Math.max(0, previous.remainingMs() - waitedMs),
+                        allExcluded);
         place(request).onComplete(waiting.promise());
     }
 
@@ -202,12 +241,13 @@
     }
 
     /**
-     * Handles a coordinator's grant for a waiting request or for a batch item. A grant for a target
-     * that is no longer ready is ignored.
+     * Handles a coordinator's grant for a waiting request or for a batch item. After a grant for a
+     * target that is no longer ready, a request asks again; an item waits for the next grant.
      */
     void onGrant(PlaceGrant grant) {
-        TargetInstance target = mState.targets().get(grant.getTargetId());
-        if (target == null || !mState.targets().isReady(target)) {
+        TargetInstance target = readyTarget(grant.getTargetId());
+        if (target == null) {
+            askForAnother(grant.getRequestId(), grant.getTargetId());
             return;
         }
         if (grant.getRequestId().isEmpty()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -171,7 +171,7 @@
                         contentRevisions(),
                         mBatchWork.waitingItems(),
                         mBatchWork.firstDueInMs(),
-                        mLoads.failingTargets(),
+                        targetsToAvoid(),
                         eventIntervalsMs);
         List<TargetLimit> limits = mLoads.limitsForReport();
         if (!limits.isEmpty()) {
@@ -180,6 +180,13 @@
         return report;
     }
 
+    /** Returns the incarnations at which this host is to get no places for its requests. */
+    private List<String> targetsToAvoid() {
+        Set<String> avoided = new HashSet<>(mLoads.failingTargets());
+        avoided.addAll(mState.leavingTargets());
+        return List.copyOf(avoided);
+    }
+
     /** Records a peer's report and replies with this host's own. */
     public PeerReply handleReport(HostReport report) {
         recordReport(report);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ResponseHead.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param authentic whether the response carries the target's signature
  * @param encoded whether the body is encoded, in which case it is not the body that the target sent
  * @param streamed whether the body is a stream of events
+ * @param leaving whether the target states that it leaves, and takes no further requests
  * @param requestLimitPerS requests per second that the target takes from all hosts; {@link
  *     org.sesamepin.core.target.TargetRateLimits#NO_LIMIT} when it names none, not a number when it
  *     cannot be read
@@ -25,6 +26,7 @@
         boolean authentic,
         boolean encoded,
         boolean streamed,
+        boolean leaving,
         double requestLimitPerS,
         MultiMap forwardedHeaders) {
     /** Returns whether the status is a success status (2xx). */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
@@ -1,17 +1,28 @@
 package org.sesamepin.node.serving;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetDirectory;
+import org.sesamepin.core.target.TargetInstance;
 
 /**
  * The configuration and the targets that requests read. Each is an immutable snapshot that is
  * replaced as a whole, so that readers need no lock.
  */
 public final class ServingState {
+    /** Incarnations that are remembered as leaving; older ones have ended long since. */
+    private static final int MAX_LEAVING = 4_096;
+
     private volatile ServingConfig mConfig = ServingConfig.NONE;
     private volatile TargetDirectory mTargets = TargetDirectory.EMPTY;
     private volatile boolean mTargetsKnown;
     private volatile boolean mDraining;
+    private volatile Set<String> mLeaving = Set.of();
 
     public ServingConfig config() {
         return mConfig;
@@ -34,12 +45,44 @@
         return true;
     }
 
-    /** Replaces the registered targets. */
-    public void setTargets(TargetDirectory targets) {
-        mTargets = targets;
+    /** Replaces the registered targets; those that said that they leave get no requests. */
+    public void setTargets(Collection<TargetInstance> targets) {
+        mTargets = new TargetDirectory(targets, mLeaving);
         mTargetsKnown = true;
     }
 
+    /**
+     * Records that a target said in a response that it leaves. It gets no further request from this
+     * host, even if its registration still says that it is ready. This holds for the incarnation,
+     * also when its registration lapses and is there again after an outage of the store; another
+     * incarnation under the same id or address is not affected.
+     *
+     * @return false if that was known
+     */
+    boolean recordLeaving(TargetInstance target) {
+        if (mLeaving.contains(target.incarnation())) {
+            return false;
+        }
+        List<String> leaving = new ArrayList<>(mLeaving);
+        leaving.add(target.incarnation());
+        int dropped = Math.max(0, leaving.size() - MAX_LEAVING);
+        mLeaving = new LinkedHashSet<>(leaving.subList(dropped, leaving.size()));
+        setTargets(mTargets.targetsById().values());
+        return true;
+    }
+
+    /** Returns the incarnations of the registered targets that said that they leave. */
+    Set<String> leavingTargets() {
+        Set<String> leaving = mLeaving;
+        if (leaving.isEmpty()) {
+            return leaving;
+        }
+        return mTargets.targetsById().values().stream()
+                .map(TargetInstance::incarnation)
+                .filter(leaving::contains)
+                .collect(Collectors.toSet());
+    }
+
     /** Starts draining: the process is about to stop. */
     public void drain() {
         mDraining = true;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -14,6 +14,8 @@
 import org.sesamepin.node.http.IdleTimeout;
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.prompt.LostTarget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One attempt to run a request at one target. Notifies its listener of exactly one end: not
@@ -79,6 +81,7 @@
             boolean newConnection,
             long idleTimeoutMs) {}
 
+    private static final Logger LOG = LoggerFactory.getLogger(TargetAttempt.class);
     private static final int MISDIRECTED = 421;
 
     /**
@@ -204,6 +207,7 @@
         }
         if (head.status() != MISDIRECTED) {
             mContext.loads().recordLimit(mTarget, head.requestLimitPerS());
+            recordLeaving(head);
         }
         if (head.notExecuted() || head.status() == MISDIRECTED) {
             endNotExecuted(
@@ -228,6 +232,16 @@
         }
     }
 
+    private void recordLeaving(ResponseHead head) {
+        if (head.leaving() && mContext.state().recordLeaving(mTarget)) {
+            LOG.info(
+                    "step=target target={} request={} status={} outcome=leaving",
+                    mTarget.incarnation(),
+                    mPlan.head().id(),
+                    head.status());
+        }
+    }
+
     private boolean isResponseToRequest(ResponseHead head) {
         if (head.requestId() != null) {
             return head.requestId().equals(mPlan.head().id());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.spi.StoreChange;
@@ -153,6 +152,6 @@
     }
 
     private void publish() {
-        mState.setTargets(new TargetDirectory(mTargets.values()));
+        mState.setTargets(mTargets.values());
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -10,7 +10,6 @@
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.serving.HostLease;
@@ -97,7 +96,7 @@
 
     /** Sets the targets that the host may use. */
     void setTargets(List<TargetInstance> targets) {
-        mFixture.state().setTargets(new TargetDirectory(targets));
+        mFixture.state().setTargets(targets);
     }
 
     /** Makes the host receive no further changes from the store. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -23,7 +23,6 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamepin.core.prompt.PromptParts;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
 
@@ -80,7 +79,7 @@
                         1,
                         TargetState.READY,
                         0);
-        mFixture.state().setTargets(new TargetDirectory(List.of(target)));
+        mFixture.state().setTargets(List.of(target));
         return target;
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/KeptConnectionTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/KeptConnectionTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sesamepin.core.prompt.PromptParts;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 
 /**
@@ -37,7 +36,7 @@
 
     private RawTarget startTarget(RawTarget.Script script) throws Exception {
         RawTarget target = new RawTarget(mVertx, "t", script);
-        mFixture.state().setTargets(new TargetDirectory(List.of(target.instance())));
+        mFixture.state().setTargets(List.of(target.instance()));
         return target;
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -12,7 +12,7 @@
 import org.sesamepin.node.http.Problem;
 
 /**
- * A protocol with the headers Id, After, Part, Signed, Not-Run, Events and Mark, whose
+ * A protocol with the headers Id, After, Part, Signed, Not-Run, Events, Leaving and Mark, whose
  * configuration is given and whose targets register as {@link StandInTargets} does.
  */
 final class PlainProtocol implements FleetProtocol {
@@ -80,6 +80,7 @@
                 response.getHeader("Signed") != null,
                 false,
                 response.getHeader("Events") != null,
+                response.getHeader("Leaving") != null,
                 readLimit(response.getHeader("Limit")),
                 forwardedHeaders(response));
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -26,7 +26,6 @@
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.spi.StoreListing;
 
@@ -85,7 +84,7 @@
                 .activateIfNewer(
                         new ServingConfig(
                                 1, List.of(route), List.of(), null, ConnectionLimits.DEFAULT));
-        mFixture.state().setTargets(new TargetDirectory(targets));
+        mFixture.state().setTargets(targets);
         mFixture.context()
                 .promptGuard()
                 .storeListener()
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,6 +37,7 @@
     private final Map<String, List<Long>> mArrivalNanos = new HashMap<>();
     private String mRequestLimit = "";
     private String mBadRequestId = "";
+    private final Set<String> mLeaving = new HashSet<>();
     private int mStarted;
 
     StandInTargets(Vertx vertx, WatchableStore store, Set<String> badParts) {
@@ -76,6 +78,9 @@
                             response.putHeader("Id", request.getHeader("Id"))
                                     .putHeader("Signed", "1")
                                     .putHeader("Events", "1");
+                            if (mLeaving.contains(id)) {
+                                response.putHeader("Leaving", "1");
+                            }
                             if (!mRequestLimit.isEmpty()) {
                                 response.putHeader("Limit", mRequestLimit);
                             }
@@ -115,6 +120,16 @@
         mVertx.setTimer(REPLACEMENT_MS, t -> startOne());
     }
 
+    /** Lets a target say in its answers that it leaves, while its registration stays as it is. */
+    void leave(String id) {
+        mLeaving.add(id);
+    }
+
+    /** Returns the number of requests that have reached a target. */
+    int arrivals(String id) {
+        return mArrivalNanos.getOrDefault(id, List.of()).size();
+    }
+
     /** Sets the id of the request that ends each target; empty for none. */
     void setBadRequestId(String id) {
         mBadRequestId = id;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -25,7 +25,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sesamepin.core.prompt.PromptParts;
-import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
 
@@ -67,7 +66,7 @@
                         1,
                         TargetState.READY,
                         0);
-        mFixture.state().setTargets(new TargetDirectory(List.of(mTarget)));
+        mFixture.state().setTargets(List.of(mTarget));
     }
 
     private void respond(NetSocket socket) {
@@ -245,7 +244,7 @@
 
     @Test
     void requestIsNotSentToATargetThatLeft() throws Exception {
-        mFixture.state().setTargets(new TargetDirectory(List.of()));
+        mFixture.state().setTargets(List.of());
         assertEquals("refused", run(OK + "Content-Length: 0\r\n\r\n", false));
         assertEquals(List.of(), mEvents);
     }
