Bound the memory of jobs that are read by their bytes

Cause: the caches kept 64 jobs whatever their size, more than the heap; and any number of jobs was decoded at once.

Fix: caches of bytes (an eighth and a sixteenth of the heap), two reads at once, four loads at once after a takeover, and pauses between claims that fail. JobIndex: one method has a shorter name.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
@@ -27,6 +27,20 @@
     private static final Logger LOG = LoggerFactory.getLogger(JobClaimer.class);
     private static final long ANY_HOST_CLAIM_DELAY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** Jobs that are read at once after their claims; each needs several times its size. */
+    private static final int MAX_CONCURRENT_LOADS = 4;
+
+    /** Far more jobs than a host takes over at once; beyond that a job is claimed again later. */
+    private static final int MAX_WAITING_LOADS = 10_000;
+
+    /** First pause after a claim that failed, and the longest one; pauses double in between. */
+    private static final long MIN_PAUSE_MS = 300;
+
+    private static final long MAX_PAUSE_MS = 5_000;
+
+    /** Claims of a job that failed in succession, and until when it is not claimed again. */
+    private record Failures(int count, long pauseUntilNanos) {}
+
     private final ServingContext mContext;
     private final JobStorage mStorage;
     private final JobIndex mIndex;
@@ -34,6 +48,8 @@
     private final OwnedJobs mOwnedJobs;
     private final Consumer<OwnedJob> mOnClaimed;
     private final Map<String, Long> mOwnerlessSinceNanos = new HashMap<>();
+    private final Map<String, Failures> mFailures = new HashMap<>();
+    private final CallLimiter mLoads = new CallLimiter(MAX_CONCURRENT_LOADS, MAX_WAITING_LOADS);
     private boolean mStopping;
 
     JobClaimer(
@@ -61,15 +77,30 @@
         if (mStopping || !mLease.isHeld() || !mContext.state().config().isKnown()) {
             return;
         }
-        List<String> jobs = mIndex.openJobsWithoutOwnerOtherThan(mLease.host());
+        List<String> jobs = mIndex.openJobsNotOwnedByOthers(mLease.host());
         mOwnerlessSinceNanos.keySet().retainAll(jobs);
+        mFailures.keySet().retainAll(jobs);
         for (String jobId : jobs) {
-            if ((isAssignedHere(jobId) || mayClaimOwnerless(jobId)) && mOwnedJobs.reserve(jobId)) {
+            boolean mayClaim = isAssignedHere(jobId) || mayClaimOwnerless(jobId);
+            if (mayClaim && !isPaused(jobId) && mOwnedJobs.reserve(jobId)) {
                 claim(jobId);
             }
         }
     }
 
+    private boolean isPaused(String jobId) {
+        Failures failures = mFailures.get(jobId);
+        return failures != null && mContext.ticker().nanoTime() - failures.pauseUntilNanos() < 0;
+    }
+
+    private void recordFailure(String jobId) {
+        Failures previous = mFailures.get(jobId);
+        int count = previous == null ? 1 : previous.count() + 1;
+        long pauseMs = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS << Math.min(count - 1, 10));
+        long until = mContext.ticker().nanoTime() + TimeUnit.MILLISECONDS.toNanos(pauseMs);
+        mFailures.put(jobId, new Failures(count, until));
+    }
+
     /** Returns whether the store names this process as the owner of a job. */
     private boolean isAssignedHere(String jobId) {
         JobCodec.Owner owner = mIndex.owner(jobId);
@@ -102,8 +133,8 @@
                 .onComplete(
                         done -> {
                             mOwnedJobs.release(jobId);
-                            mOwnerlessSinceNanos.remove(jobId);
                             if (done.failed()) {
+                                recordFailure(jobId);
                                 LOG.warn(
                                         "step=claim job={} outcome=failed cause={}",
                                         jobId,
@@ -118,7 +149,7 @@
      */
     private Future<Void> onClaimReply(String jobId, StoreResult result) {
         if (result.committed()) {
-            return loadJob(jobId, result.revision());
+            return mLoads.call(() -> loadJob(jobId, result.revision()));
         }
         LOG.info("step=claim job={} outcome=conflict", jobId);
         return Future.succeededFuture();
@@ -154,6 +185,8 @@
                 ownerRevision,
                 summary.published(),
                 summary.total());
+        mFailures.remove(jobId);
+        mOwnerlessSinceNanos.remove(jobId);
         mOnClaimed.accept(new OwnedJob(jobId, ownerRevision, summary, progress));
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobContentReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobContentReader.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -46,7 +45,18 @@
     /** Time for a call to a job's owner, beyond the time for which the owner is asked to wait. */
     private static final long OWNER_CALL_MS = 250;
 
-    private static final int MAX_CACHED_JOBS = 64;
+    /** Fractions of the heap that cached results and cached items may take. */
+    private static final int RESULT_CACHE_HEAP_DIVISOR = 8;
+
+    private static final int ITEM_CACHE_HEAP_DIVISOR = 16;
+
+    /** Jobs that are read from the store at once; each needs several times its size meanwhile. */
+    private static final int MAX_CONCURRENT_READS = 2;
+
+    private static final int MAX_WAITING_READS = 256;
+
+    /** Size of the objects of a cached result or item beside its text and body, bytes. */
+    private static final int OBJECT_BYTES = 256;
 
     private final ServingContext mContext;
     private final JobStorage mStorage;
@@ -55,9 +65,12 @@
     private final PeerTable mPeers;
     private final PeerClient mClient;
     private final Map<String, List<Promise<Void>>> mChangeWaiters = new HashMap<>();
-    private final Map<String, List<JobResult>> mResultCache = newJobCache();
-    private final Map<String, List<JobItem>> mItemCache = newJobCache();
+    private final JobCache<List<JobResult>> mResultCache =
+            new JobCache<>(Runtime.getRuntime().maxMemory() / RESULT_CACHE_HEAP_DIVISOR);
+    private final JobCache<List<JobItem>> mItemCache =
+            new JobCache<>(Runtime.getRuntime().maxMemory() / ITEM_CACHE_HEAP_DIVISOR);
     private final Map<String, Future<List<JobResult>>> mResultLoads = new HashMap<>();
+    private final CallLimiter mReads = new CallLimiter(MAX_CONCURRENT_READS, MAX_WAITING_READS);
 
     /** Creates a reader with empty caches. */
     public JobContentReader(
@@ -76,17 +89,6 @@
         index.addChangeListener(this::onJobChange);
     }
 
-    private static <T> Map<String, T> newJobCache() {
-        return new LinkedHashMap<>(MAX_CACHED_JOBS, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-                return size() > MAX_CACHED_JOBS;
-            }
-        };
-    }
-
     private void onJobChange(String jobId) {
         List<Promise<Void>> waiters = mChangeWaiters.remove(jobId);
         if (waiters != null) {
@@ -103,8 +105,8 @@
         if (mRunner.ownedJob(jobId) != null) {
             return readOwned(jobId, summary, offset, waitMs);
         }
-        List<JobResult> cached = mResultCache.getOrDefault(jobId, List.of());
-        if (cached.size() > offset || cached.size() >= summary.total()) {
+        List<JobResult> cached = mResultCache.get(jobId);
+        if (cached != null && (cached.size() > offset || cached.size() >= summary.total())) {
             return Future.succeededFuture(toPage(summary, cached, offset));
         }
         JobCodec.Owner owner = mIndex.owner(jobId);
@@ -229,11 +231,12 @@
             return loading;
         }
         Future<List<JobResult>> load =
-                mStorage.readResults(jobId)
+                mReads.call(() -> mStorage.readResults(jobId))
                         .map(
                                 stored -> {
-                                    mResultCache.put(jobId, stored.results());
-                                    return stored.results();
+                                    List<JobResult> results = stored.results();
+                                    mResultCache.put(jobId, results, bytesOfResults(results));
+                                    return results;
                                 })
                         .onComplete(done -> mResultLoads.remove(jobId));
         if (!load.isComplete()) {
@@ -258,12 +261,33 @@
         Future<List<JobItem>> items =
                 cached != null
                         ? Future.succeededFuture(cached)
-                        : mStorage.readItems(jobId)
-                                .onSuccess(loaded -> mItemCache.put(jobId, loaded));
+                        : mReads.call(() -> mStorage.readItems(jobId))
+                                .onSuccess(
+                                        loaded ->
+                                                mItemCache.put(
+                                                        jobId, loaded, bytesOfItems(loaded)));
         return items.compose(
                 list -> loadResults(jobId).map(results -> unpublishedBody(list, results, itemId)));
     }
 
+    private static long bytesOfResults(List<JobResult> results) {
+        return results.stream()
+                .mapToLong(
+                        result -> OBJECT_BYTES + (long) Character.BYTES * result.output().length())
+                .sum();
+    }
+
+    private static long bytesOfItems(List<JobItem> items) {
+        long bytes = 0;
+        for (JobItem item : items) {
+            bytes += OBJECT_BYTES + item.body().length;
+            for (Map.Entry<String, String> header : item.headers().entrySet()) {
+                bytes += OBJECT_BYTES + (long) Character.BYTES * header.getValue().length();
+            }
+        }
+        return bytes;
+    }
+
     private static byte @Nullable [] unpublishedBody(
             List<JobItem> items, List<JobResult> results, String itemId) {
         return new JobProgress(items, results, Map.of()).unpublishedBody(itemId);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -200,8 +200,8 @@
         return tokens;
     }
 
-    /** Returns the open jobs that have no owner, or a process of {@code host}. */
-    List<String> openJobsWithoutOwnerOtherThan(String host) {
+    /** Returns the open jobs that have no owner, or whose owner is a process of {@code host}. */
+    List<String> openJobsNotOwnedByOthers(String host) {
         List<String> jobs = new ArrayList<>();
         mSummaries.forEach(
                 (jobId, summary) -> {
