--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCodec.java
@@ -118,6 +118,11 @@
         return parts;
     }
 
+    /** Returns an upper limit of the size of items as JSON, bytes. */
+    static long maxEncodedBytes(List<JobItem> items) {
+        return items.stream().mapToLong(JobCodec::maxEncodedBytes).sum();
+    }
+
     /** Returns an upper limit of the size of an item as JSON, bytes. */
     private static long maxEncodedBytes(JobItem item) {
         long base64Bytes = (item.body().length + 2L) / 3 * 4;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -44,7 +44,7 @@
     /** Delay before the next attempt to store a job, in which the index receives changes. */
     private static final long RETRY_DELAY_MS = 8;
 
-    private static final long OWNER_CALL_MS = 250;
+    private static final long NOTICE_TIMEOUT_MS = 250;
 
     private final ServingContext mContext;
     private final JobStorage mStorage;
@@ -265,7 +265,7 @@
             mFetchChanges.run();
             return;
         }
-        mClient.call(peer.address(), PeerRequest.jobNotice(new JobNotice(jobId)), OWNER_CALL_MS)
+        mClient.call(peer.address(), PeerRequest.jobNotice(new JobNotice(jobId)), NOTICE_TIMEOUT_MS)
                 .onFailure(
                         e ->
                                 LOG.info(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -71,7 +71,9 @@
 
     /** Returns whether the items of a job fit into the transaction that accepts the job. */
     boolean canAccept(List<JobItem> items) {
-        return itemParts("", items).size() + ACCEPT_ENTRIES <= MAX_TRANSACTION_ENTRIES;
+        boolean isOneGroup = JobCodec.maxEncodedBytes(items) <= groupBytes(mMaxValueBytes);
+        return isOneGroup
+                || itemParts("", items).size() + ACCEPT_ENTRIES <= MAX_TRANSACTION_ENTRIES;
     }
 
     private List<ValueParts.Part> itemParts(String jobId, List<JobItem> items) {
