--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/KeptConnectionTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/KeptConnectionTest.java
@@ -2,19 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.target.TargetInstance;
 
 /**
@@ -41,63 +37,25 @@
     }
 
     private String run(TargetInstance target, String id, boolean newConnection) throws Exception {
-        CompletableFuture<String> end = new CompletableFuture<>();
-        CallHead head =
-                new CallHead(
-                        id,
-                        HttpMethod.POST,
-                        "h",
-                        "/p",
-                        "/p",
-                        null,
-                        0,
-                        null,
-                        MultiMap.caseInsensitiveMultiMap(),
-                        PromptParts.NONE);
+        AttemptRecorder recorder = new AttemptRecorder();
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
-                        head, Buffer.buffer("{}"), null, 5_000, null, false, newConnection, 0);
+                        AttemptRecorder.headOf(id),
+                        Buffer.buffer("{}"),
+                        null,
+                        5_000,
+                        null,
+                        false,
+                        newConnection,
+                        0);
         mVertx.runOnContext(
-                v ->
-                        new TargetAttempt(mFixture.context(), target, plan, new Recorder(end))
-                                .start());
-        String outcome = end.get(10, TimeUnit.SECONDS);
+                v -> new TargetAttempt(mFixture.context(), target, plan, recorder).start());
+        String outcome = recorder.end().get(10, TimeUnit.SECONDS);
         // The connection returns to the pool after the listener was called.
         Thread.sleep(50);
         return outcome;
     }
 
-    private record Recorder(CompletableFuture<String> end) implements TargetAttempt.Listener {
-        @Override
-        public void onSent() {}
-
-        @Override
-        public void onStreamStarted(ResponseHead head) {}
-
-        @Override
-        public void onEvent(Buffer event, long id) {}
-
-        @Override
-        public void onStreamEnded() {
-            end.complete("ended");
-        }
-
-        @Override
-        public void onResponse(ResponseHead head, Buffer body) {
-            end.complete("answered " + head.status() + ' ' + body);
-        }
-
-        @Override
-        public void onNotExecuted(boolean wasSent, String reason) {
-            end.complete("refused");
-        }
-
-        @Override
-        public void onInterrupted(String reason) {
-            end.complete("broken");
-        }
-    }
-
     /** A response that may be an earlier one must leave open whether the request runs. */
     @ParameterizedTest
     @CsvSource({
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -5,18 +5,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -24,7 +20,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
 
@@ -40,8 +35,7 @@
 
     private final Vertx mVertx = Vertx.vertx();
     private final ServingFixture mFixture = new ServingFixture(mVertx);
-    private final List<String> mEvents = new CopyOnWriteArrayList<>();
-    private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+    private final AttemptRecorder mRecorder = new AttemptRecorder();
     private String mResponse = "";
     private boolean mCloseAfterResponse;
     private boolean mResetAfterResponse;
@@ -98,24 +92,19 @@
         mResponse = response;
         mCloseAfterResponse = closeAfterResponse;
         TargetInstance target = Objects.requireNonNull(mTarget);
-        CallHead head =
-                new CallHead(
-                        "r1",
-                        HttpMethod.POST,
-                        "h",
-                        "/p",
-                        "/p",
-                        null,
-                        0,
-                        null,
-                        MultiMap.caseInsensitiveMultiMap(),
-                        PromptParts.NONE);
         TargetAttempt.Plan plan =
                 new TargetAttempt.Plan(
-                        head, Buffer.buffer("{}"), null, 5_000, null, false, false, 0);
+                        AttemptRecorder.headOf("r1"),
+                        Buffer.buffer("{}"),
+                        null,
+                        5_000,
+                        null,
+                        false,
+                        false,
+                        0);
         mVertx.runOnContext(
-                v -> new TargetAttempt(mFixture.context(), target, plan, new Recorder()).start());
-        return mEnd.get(10, TimeUnit.SECONDS);
+                v -> new TargetAttempt(mFixture.context(), target, plan, mRecorder).start());
+        return mRecorder.end().get(10, TimeUnit.SECONDS);
     }
 
     private static String chunk(String text) {
@@ -126,43 +115,6 @@
         return "id: " + id + "\ndata: x\n\n";
     }
 
-    private final class Recorder implements TargetAttempt.Listener {
-        @Override
-        public void onSent() {
-            mEvents.add("sent");
-        }
-
-        @Override
-        public void onStreamStarted(ResponseHead head) {
-            mEvents.add("stream");
-        }
-
-        @Override
-        public void onEvent(Buffer event, long id) {
-            mEvents.add("event " + id);
-        }
-
-        @Override
-        public void onStreamEnded() {
-            mEnd.complete("ended");
-        }
-
-        @Override
-        public void onResponse(ResponseHead head, Buffer body) {
-            mEnd.complete("answered " + head.status() + ' ' + body);
-        }
-
-        @Override
-        public void onNotExecuted(boolean wasSent, String reason) {
-            mEnd.complete("refused");
-        }
-
-        @Override
-        public void onInterrupted(String reason) {
-            mEnd.complete("broken");
-        }
-    }
-
     @ParameterizedTest
     @CsvSource({
         "200,Id: r1|Signed: 1,answered 200 ab",
@@ -195,13 +147,13 @@
     void completeStreamIsForwardedInOrder() throws Exception {
         String events = chunk(event(1)) + chunk(event(2)) + LAST_CHUNK;
         assertEquals("ended", run(EVENTS + events, false));
-        assertEquals(List.of("sent", "stream", "event 1", "event 2"), mEvents);
+        assertEquals(List.of("sent", "stream", "event 1", "event 2"), mRecorder.events());
     }
 
     @Test
     void missingEventBreaksTheStream() throws Exception {
         assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk(event(3)) + LAST_CHUNK, false));
-        assertEquals(List.of("sent", "stream", "event 1"), mEvents);
+        assertEquals(List.of("sent", "stream", "event 1"), mRecorder.events());
     }
 
     @Test
@@ -212,7 +164,7 @@
     @Test
     void incompleteEventIsNotForwarded() throws Exception {
         assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk("id: 2\nda"), true));
-        assertEquals(List.of("sent", "stream", "event 1"), mEvents);
+        assertEquals(List.of("sent", "stream", "event 1"), mRecorder.events());
     }
 
     @Test
@@ -246,6 +198,6 @@
     void requestIsNotSentToATargetThatLeft() throws Exception {
         mFixture.state().setTargets(List.of());
         assertEquals("refused", run(OK + "Content-Length: 0\r\n\r\n", false));
-        assertEquals(List.of(), mEvents);
+        assertEquals(List.of(), mRecorder.events());
     }
 }
