--- a/sesamepin-test/src/test/java/org/sesamepin/test/FleetWorld.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/FleetWorld.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.cli.DemoFleet;
 
@@ -30,9 +34,30 @@
         boolean holds() throws Exception;
     }
 
+    /**
+     * Returns the first port of a block that a fleet can use. Skips blocks in which another process
+     * of the machine listens, since a fleet cannot start there.
+     */
+    private static int nextFreePorts() {
+        int firstPort = NEXT_FIRST_PORT.getAndAdd(PORTS_PER_FLEET);
+        while (!IntStream.range(firstPort, firstPort + PORTS_PER_FLEET)
+                .allMatch(FleetWorld::isFree)) {
+            firstPort = NEXT_FIRST_PORT.getAndAdd(PORTS_PER_FLEET);
+        }
+        return firstPort;
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Starts a fleet of three nodes with all stand-ins. */
     void start() throws Exception {
-        DemoFleet fleet = new DemoFleet(NEXT_FIRST_PORT.getAndAdd(PORTS_PER_FLEET));
+        DemoFleet fleet = new DemoFleet(nextFreePorts());
         mFleet = fleet;
         mClient = new FleetClient(fleet);
         fleet.start();
