--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -253,8 +253,7 @@
     private boolean isBehind(HostReport report) {
         List<Long> peerRevisions = report.getWatchedRevisions();
         for (int i = 0; i < mMirrors.size() && i < peerRevisions.size(); i++) {
-            StoreMirror mirror = mMirrors.get(i);
-            if (peerRevisions.get(i) > mirror.contentRevision() && !mirror.isWatchDeferred()) {
+            if (mMirrors.get(i).isBehind(peerRevisions.get(i))) {
                 return true;
             }
         }
@@ -270,7 +269,7 @@
         List<Long> peerRevisions = report.getWatchedRevisions();
         for (int i = 0; i < mMirrors.size() && i < peerRevisions.size(); i++) {
             StoreMirror mirror = mMirrors.get(i);
-            if (peerRevisions.get(i) > mirror.contentRevision() && !mirror.isWatchDeferred()) {
+            if (mirror.isBehind(peerRevisions.get(i))) {
                 LOG.info(
                         "step=store-watch prefix={} peer={} peer_revision={} revision={}"
                                 + " outcome=missed",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -50,6 +50,7 @@
     private long mGeneration;
     private int mConsecutiveFailures;
     private long mDelayTimer = NO_TIMER;
+    private boolean mListingPending;
     private boolean mClosed;
 
     /** Creates a mirror of everything below {@code prefix}. */
@@ -76,6 +77,7 @@
      * ignored.
      */
     public void refresh() {
+        mListingPending = false;
         mRevision = UNLISTED;
         mGeneration++;
         mVertx.cancelTimer(mDelayTimer);
@@ -83,6 +85,14 @@
         listOrWatch(mGeneration);
     }
 
+    /**
+     * Returns whether the store had a change at {@code revision} that this mirror does not know and
+     * is not about to read. A listing that is under way is awaited: another one would take as long.
+     */
+    public boolean isBehind(long revision) {
+        return revision > mContentRevision && !mListingPending && !isWatchDeferred();
+    }
+
     /** Sends the next watch call at once if the rate limit defers it. */
     public void watchNow() {
         if (isWatchDeferred()) {
@@ -114,6 +124,7 @@
             return;
         }
         if (mRevision == UNLISTED) {
+            mListingPending = true;
             mStore.list(mPrefix)
                     .onSuccess(listing -> onListed(generation, listing))
                     .onFailure(e -> onFailed(generation, e));
@@ -128,6 +139,7 @@
         if (generation != mGeneration) {
             return;
         }
+        mListingPending = false;
         mRevision = listing.revision();
         for (StoreEntry entry : listing.entries()) {
             mContentRevision = Math.max(mContentRevision, entry.modRevision());
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
@@ -0,0 +1,52 @@
+package org.sesamepin.node.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.sesamepin.core.serving.RouteKind;
+
+/** Tests that each change of the configuration is in force at every node within the bound. */
+class ConfigInForceTest {
+    private static final long APPLY_MS = 2_000;
+    private static final String CONFIG = "config/";
+
+    private final List<FaultyStore> mStores = new ArrayList<>();
+
+    private LoopbackFleet newFleet(int nodes, String faultyPrefix) throws Exception {
+        LoopbackFleet fleet = new LoopbackFleet(RouteKind.IDEMPOTENT, Set.of());
+        fleet.setStoreOfNode(
+                node -> {
+                    FaultyStore store = new FaultyStore(fleet.vertx(), fleet.store(), faultyPrefix);
+                    mStores.add(store);
+                    return store;
+                });
+        fleet.start(nodes, 1);
+        return fleet;
+    }
+
+    private static void assertInForceInTime(LoopbackFleet fleet, int nodes, long version)
+            throws Exception {
+        fleet.writeConfig(version);
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(APPLY_MS);
+        for (int node = 0; node < nodes; node++) {
+            while (fleet.configVersion(node) < version && System.nanoTime() - deadline < 0) {
+                Thread.sleep(10);
+            }
+            assertEquals(version, fleet.configVersion(node), "at node " + node);
+        }
+    }
+
+    @Test
+    void aListingThatTakesLongerThanPeersNeedToReportTheChangeIsNotDiscarded() throws Exception {
+        try (LoopbackFleet fleet = newFleet(4, CONFIG)) {
+            mStores.get(0).silenceWatches();
+            mStores.get(0).setListDelayMs(900);
+            assertInForceInTime(fleet, 4, 2);
+            assertInForceInTime(fleet, 4, 3);
+        }
+    }
+}
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobResult;
 import org.sesamepin.core.serving.ConnectionLimits;
@@ -33,6 +34,7 @@
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreTransaction;
+import org.sesamepin.node.spi.WatchableStore;
 
 /**
  * Nodes in one process, with a store in memory and stand-in targets. All of them run on one event
@@ -51,6 +53,7 @@
     private final HttpClient mClient = mVertx.createHttpClient();
     private int mRequests;
     private int mStartedNodes;
+    private Function<String, WatchableStore> mStoreOfNode = node -> mStore;
 
     LoopbackFleet(RouteKind kind, Set<String> badParts) {
         this(kind, badParts, StandInTargets.SLOTS);
@@ -128,6 +131,24 @@
                 });
     }
 
+    /** Sets through which store each node that is started from now on reaches the fleet's store. */
+    void setStoreOfNode(Function<String, WatchableStore> storeOfNode) {
+        mStoreOfNode = storeOfNode;
+    }
+
+    /** Writes a version of the configuration to the store. */
+    void writeConfig(long version) throws Exception {
+        onLoop(() -> mStore.commit(new StoreTransaction().put("config/c", "" + version)));
+    }
+
+    /** Returns the version of the configuration in force at a node. */
+    long configVersion(int node) throws Exception {
+        return onLoop(
+                () ->
+                        Future.succeededFuture(
+                                mNodes.get(node).context().state().config().version()));
+    }
+
     /** Starts the targets and the nodes, and waits until the nodes know all targets. */
     void start(int nodes, int targets) throws Exception {
         onLoop(
@@ -171,7 +192,7 @@
                                     mVertx,
                                     newSettings(name),
                                     new PlainProtocol(mConfig),
-                                    mStore,
+                                    mStoreOfNode.apply(name),
                                     new IgnoringListener());
                     mNodes.add(node);
                     CallHandler handler =
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
@@ -13,7 +14,8 @@
 
 /**
  * A protocol with the headers Id, After, Part, Signed, Not-Run, Events, Leaving and Mark, whose
- * configuration is given and whose targets register as {@link StandInTargets} does.
+ * stored configuration is only a version of one that is given, and whose targets register as {@link
+ * StandInTargets} does.
  */
 final class PlainProtocol implements FleetProtocol {
     private final ServingConfig mConfig;
@@ -39,7 +41,13 @@
 
     @Override
     public ServingConfig decodeConfig(byte[] value) {
-        return mConfig;
+        long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+        return new ServingConfig(
+                version,
+                List.copyOf(mConfig.routes().values()),
+                List.copyOf(mConfig.services()),
+                null,
+                mConfig.connectionLimits());
     }
 
     @Override
