--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -90,7 +90,8 @@
      * is not about to read. A listing that is under way is awaited: another one would take as long.
      */
     public boolean isBehind(long revision) {
-        return revision > mContentRevision && !mListingPending && !isWatchDeferred();
+        long knownUntil = Math.max(mContentRevision, mRevision);
+        return revision > knownUntil && !mListingPending && !isWatchDeferred();
     }
 
     /** Sends the next watch call at once if the rate limit defers it. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
@@ -2,17 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.core.serving.RouteKind;
+import org.sesamepin.node.spi.StoreTransaction;
 
 /** Tests that each change of the configuration is in force at every node within the bound. */
 class ConfigInForceTest {
     private static final long APPLY_MS = 2_000;
     private static final String CONFIG = "config/";
+    private static final String TARGETS = "targets/";
 
     private final List<FaultyStore> mStores = new ArrayList<>();
 
@@ -49,4 +52,18 @@
             assertInForceInTime(fleet, 4, 3);
         }
     }
+
+    @Test
+    void aNodeThatStartedAfterADeletionIsNotBehindThoseThatSawIt() throws Exception {
+        try (LoopbackFleet fleet = newFleet(1, TARGETS)) {
+            fleet.onLoop(() -> fleet.store().commit(new StoreTransaction().put("targets/x", "")));
+            fleet.onLoop(() -> fleet.store().commit(new StoreTransaction().delete("targets/x")));
+            fleet.startNode();
+            fleet.awaitPeers(2);
+            int before = fleet.onLoop(() -> Future.succeededFuture(mStores.get(1).lists()));
+            Thread.sleep(3_000);
+            int lists = fleet.onLoop(() -> Future.succeededFuture(mStores.get(1).lists()));
+            assertEquals(before, lists, "listings without a change");
+        }
+    }
 }
