--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ConfigVerifier.java
@@ -0,0 +1,144 @@
+package org.sesamepin.node.serving;
+
+import io.vertx.core.Vertx;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.peer.generated.ConfigConfirmation;
+import org.sesamepin.node.peer.generated.HostReport;
+import org.sesamepin.node.spi.StoreChanges;
+import org.sesamepin.node.spi.StoreListing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Bounds the time for which a host may act by a configuration without knowing that it is the newest
+ * one. A watch can be silent without an error, on all hosts at once; so the configuration is listed
+ * about once a second. The hosts share this work: what one of them has confirmed is in its reports
+ * to the others. Confined to the event loop.
+ */
+final class ConfigVerifier implements StoreMirror.Listener, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigVerifier.class);
+    private static final long CHECK_INTERVAL_MS = 200;
+
+    /** Age of the confirmation from which on one of all hosts lists at each check. */
+    private static final long SHARED_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    /** Age of the confirmation from which on this host lists. */
+    private static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** Age of the confirmation from which on the configuration counts as unconfirmed. */
+    private static final long UNCONFIRMED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final Vertx mVertx;
+    private final Ticker mTicker;
+    private final ServingState mState;
+    private final IntSupplier mHosts;
+    private @Nullable StoreMirror mMirror;
+    private boolean mKnown;
+    private boolean mUnconfirmed;
+    private boolean mPending;
+    private long mConfirmedAt;
+    private long mTimer;
+
+    /**
+     * Creates a verifier.
+     *
+     * @param hosts number of the registered hosts
+     */
+    ConfigVerifier(Vertx vertx, Ticker ticker, ServingState state, IntSupplier hosts) {
+        mVertx = vertx;
+        mTicker = ticker;
+        mState = state;
+        mHosts = hosts;
+    }
+
+    /** Starts to verify what {@code mirror} has read. */
+    void start(StoreMirror mirror) {
+        mMirror = mirror;
+        mTimer = mVertx.setPeriodic(CHECK_INTERVAL_MS, t -> check(mirror));
+    }
+
+    private void check(StoreMirror mirror) {
+        if (!mKnown) {
+            return;
+        }
+        long age = mTicker.nanoTime() - mConfirmedAt;
+        if (age >= UNCONFIRMED_AGE_NANOS && !mUnconfirmed) {
+            mUnconfirmed = true;
+            LOG.warn(
+                    "step=config version={} age_ms={} outcome=unconfirmed",
+                    mState.config().version(),
+                    ageMs());
+        }
+        boolean isTurn = ThreadLocalRandom.current().nextInt(Math.max(1, mHosts.getAsInt())) == 0;
+        boolean due = age >= MAX_AGE_NANOS || (age >= SHARED_AGE_NANOS && isTurn);
+        if (due && !mPending) {
+            verify(mirror);
+        }
+    }
+
+    private void verify(StoreMirror mirror) {
+        mPending = true;
+        long sentAt = mTicker.nanoTime();
+        mirror.verify().onSuccess(v -> confirm(sentAt)).onComplete(done -> mPending = false);
+    }
+
+    private void confirm(long at) {
+        if (mKnown && at - mConfirmedAt <= 0) {
+            return;
+        }
+        mConfirmedAt = at;
+        mKnown = true;
+        if (mUnconfirmed && mTicker.nanoTime() - at < UNCONFIRMED_AGE_NANOS) {
+            mUnconfirmed = false;
+            LOG.info("step=config version={} outcome=confirmed", mState.config().version());
+        }
+    }
+
+    @Override
+    public void onListing(StoreListing listing, boolean afterOutage) {
+        confirm(mTicker.nanoTime());
+    }
+
+    @Override
+    public void onChanges(StoreChanges changes, boolean afterOutage) {
+        confirm(mTicker.nanoTime());
+    }
+
+    /**
+     * Returns how long ago the configuration in force was known to be the newest, milliseconds; 0
+     * before one was read.
+     */
+    long ageMs() {
+        return mKnown ? TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - mConfirmedAt) : 0;
+    }
+
+    /** Adds to a report what this host has confirmed. */
+    void addTo(HostReport report) {
+        StoreMirror mirror = mMirror;
+        if (mirror != null && mKnown) {
+            report.setConfigConfirmation(new ConfigConfirmation(mirror.contentRevision(), ageMs()));
+        }
+    }
+
+    /** Records what a peer has confirmed, if this host knows all that the peer knows. */
+    void recordReport(HostReport report) {
+        StoreMirror mirror = mMirror;
+        if (mirror == null || !report.isSetConfigConfirmation()) {
+            return;
+        }
+        ConfigConfirmation confirmation = report.getConfigConfirmation();
+        if (mKnown && confirmation.getRevision() <= mirror.contentRevision()) {
+            long ageNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, confirmation.getAgeMs()));
+            confirm(mTicker.nanoTime() - ageNanos);
+        }
+    }
+
+    @Override
+    public void close() {
+        mVertx.cancelTimer(mTimer);
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -46,6 +46,7 @@
     private final PlacementClient mPlacementClient;
     private final BatchWork mBatchWork;
     private final PromptGuard mPromptGuard;
+    private final ConfigVerifier mConfigVerifier;
     private final long mIncarnation;
     private final BooleanSupplier mStoreReachable;
     private final List<StoreMirror> mMirrors;
@@ -73,6 +74,7 @@
             PlacementClient placementClient,
             BatchWork batchWork,
             PromptGuard promptGuard,
+            ConfigVerifier configVerifier,
             long incarnation,
             BooleanSupplier storeReachable,
             List<StoreMirror> mirrors) {
@@ -85,6 +87,7 @@
         mPlacementClient = placementClient;
         mBatchWork = batchWork;
         mPromptGuard = promptGuard;
+        mConfigVerifier = configVerifier;
         mIncarnation = incarnation;
         mStoreReachable = storeReachable;
         mMirrors = mirrors;
@@ -177,6 +180,7 @@
         if (!limits.isEmpty()) {
             report.setTargetLimits(limits);
         }
+        mConfigVerifier.addTo(report);
         return report;
     }
 
@@ -233,6 +237,7 @@
         }
         mPeers.recordContact(report.getHost(), report.isStoreReachable());
         mLoads.recordReport(report);
+        mConfigVerifier.recordReport(report);
         if (report.isSetItemRunTimes()) {
             adoptItemRunTimes(report.getItemRunTimes());
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -70,6 +70,7 @@
     private final CustomerRateLimiter mRateLimiter;
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
+    private final ConfigVerifier mConfigVerifier;
     private final StoreMirror mConfigMirror;
     private final StoreMirror mTargetMirror;
     private final StoreMirror mControlMirror;
@@ -109,10 +110,14 @@
         store.setPeerRelay(mStoreRelay::callThroughPeer);
         ConfigUpdater configUpdater = new ConfigUpdater(protocol, mState);
         TargetRegistry targetRegistry = new TargetRegistry(vertx, mTicker, protocol, mState);
+        mConfigVerifier =
+                mCloser.add(
+                        new ConfigVerifier(
+                                vertx, mTicker, mState, () -> 1 + mPeers.registered().size()));
         mConfigMirror =
                 newMirror(
                         protocol.configPrefix(),
-                        new MirrorFanOut(List.of(configUpdater, operatorListener)),
+                        new MirrorFanOut(List.of(configUpdater, operatorListener, mConfigVerifier)),
                         () -> 0);
         mTargetMirror =
                 newMirror(
@@ -185,6 +190,7 @@
                         mPlacementClient,
                         mJobRunner,
                         mPromptGuard,
+                        mConfigVerifier,
                         incarnation,
                         store::isDirectlyReachable,
                         List.of(mConfigMirror, mTargetMirror, mControlMirror));
@@ -285,6 +291,7 @@
         registerGauges();
         mLoopLag.start();
         mConfigMirror.start();
+        mConfigVerifier.start(mConfigMirror);
         mTargetMirror.start();
         mControlMirror.start();
         mLease.start();
@@ -364,6 +371,10 @@
                 "sesamepin_config_version",
                 "Configuration in force.",
                 () -> mState.config().version());
+        mMetrics.gauge(
+                "sesamepin_config_age_seconds",
+                "Time since the configuration in force was known to be the newest.",
+                () -> mConfigVerifier.ageMs() / 1_000.0);
         mMetrics.gauge(
                 "sesamepin_targets",
                 "Registered targets.",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.serving;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -94,6 +95,42 @@
         return revision > knownUntil && !mListingPending && !isWatchDeferred();
     }
 
+    /**
+     * Lists beside the pending watch, which may have become silent without an error. When the
+     * listing has an entry that the watch did not report, it takes the place of the watch. Succeeds
+     * once everything that the store had at the call is known.
+     */
+    public Future<Void> verify() {
+        long generation = mGeneration;
+        return mStore.list(mPrefix)
+                .compose(
+                        listing -> {
+                            if (generation != mGeneration) {
+                                return Future.failedFuture("listed again meanwhile");
+                            }
+                            replaceSilentWatch(listing);
+                            return Future.succeededFuture();
+                        });
+    }
+
+    private void replaceSilentWatch(StoreListing listing) {
+        long revision = newestRevision(listing);
+        if (revision <= mContentRevision) {
+            return;
+        }
+        LOG.warn(
+                "step=store-watch prefix={} store_revision={} revision={} outcome=silent",
+                mPrefix,
+                revision,
+                mContentRevision);
+        mGeneration++;
+        onListed(mGeneration, listing);
+    }
+
+    private static long newestRevision(StoreListing listing) {
+        return listing.entries().stream().mapToLong(StoreEntry::modRevision).max().orElse(UNLISTED);
+    }
+
     /** Sends the next watch call at once if the rate limit defers it. */
     public void watchNow() {
         if (isWatchDeferred()) {
@@ -142,9 +179,7 @@
         }
         mListingPending = false;
         mRevision = listing.revision();
-        for (StoreEntry entry : listing.entries()) {
-            mContentRevision = Math.max(mContentRevision, entry.modRevision());
-        }
+        mContentRevision = Math.max(mContentRevision, newestRevision(listing));
         boolean afterOutage = endOutage();
         notify(mListener, listener -> listener.onListing(listing, afterOutage));
         listOrWatch(generation);
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -236,6 +236,13 @@
   3: i64 ageMs
 }
 
+// That the configuration was the newest one at some moment.
+struct ConfigConfirmation {
+  // Latest revision of the store below the configuration's prefix at that moment.
+  1: i64 revision
+  2: i64 ageMs
+}
+
 // What a host tells each peer several times a second, and is told in the reply.
 struct HostReport {
   1: string host
@@ -260,6 +267,8 @@
   12: optional list<PromptQuarantineEntry> promptQuarantine
   // Targets that have named a limit; not set when there are none.
   13: optional list<TargetLimit> targetLimits
+  // Not set by a host that has read no configuration, and by hosts of older versions.
+  14: optional ConfigConfirmation configConfirmation
 }
 
 // Asks the coordinator of a service for a target.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamepin.core.serving.RouteKind;
 import org.sesamepin.node.spi.StoreTransaction;
 
@@ -53,6 +55,16 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4})
+    void aChangeThatNoWatchReportsIsFoundAllTheSame(int nodes) throws Exception {
+        try (LoopbackFleet fleet = newFleet(nodes, CONFIG)) {
+            mStores.forEach(FaultyStore::silenceWatches);
+            assertInForceInTime(fleet, nodes, 2);
+            assertInForceInTime(fleet, nodes, 3);
+        }
+    }
+
     @Test
     void aNodeThatStartedAfterADeletionIsNotBehindThoseThatSawIt() throws Exception {
         try (LoopbackFleet fleet = newFleet(1, TARGETS)) {
