--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -290,17 +290,27 @@
      * when the answer did not arrive whole. Called on the event loop.
      */
     Future<Integer> send(int node, List<String> parts) {
-        return request(node, parts).compose(LoopbackFleet::statusOfWholeAnswer).otherwise(0);
+        return send(node, parts, "{}");
+    }
+
+    /** Sends a request as {@link #send(int, List)} does, with a body. */
+    Future<Integer> send(int node, List<String> parts, String body) {
+        return request(node, parts, body).compose(LoopbackFleet::statusOfWholeAnswer).otherwise(0);
     }
 
     /** Sends a request as {@link #send} does; the result is the problem, empty for none. */
     Future<String> sendForProblem(int node, List<String> parts) {
-        return request(node, parts)
+        return sendForProblem(node, parts, "{}");
+    }
+
+    /** Sends a request with a body; the result is the problem, empty for none. */
+    Future<String> sendForProblem(int node, List<String> parts, String body) {
+        return request(node, parts, body)
                 .map(response -> Objects.requireNonNullElse(response.getHeader("Problem"), ""))
                 .otherwise("");
     }
 
-    private Future<HttpClientResponse> request(int node, List<String> parts) {
+    private Future<HttpClientResponse> request(int node, List<String> parts, String body) {
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(HttpMethod.POST)
@@ -312,7 +322,7 @@
                         request ->
                                 request.putHeader("Id", "q" + ++mRequests)
                                         .putHeader("Part", parts)
-                                        .send("{}"));
+                                        .send(body));
     }
 
     private static Future<Integer> statusOfWholeAnswer(HttpClientResponse response) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -37,6 +37,7 @@
     private final Map<String, List<Long>> mArrivalNanos = new HashMap<>();
     private String mRequestLimit = "";
     private String mBadRequestId = "";
+    private String mBadBody = "";
     private final Set<String> mLeaving = new HashSet<>();
     private int mStarted;
 
@@ -66,14 +67,15 @@
     private void answer(String id, HttpServerRequest request) {
         boolean hasBadPart =
                 request.headers().getAll("Part").stream().anyMatch(mBadParts::contains);
-        boolean bad = hasBadPart || mBadRequestId.equals(request.getHeader("Id"));
-        if (bad) {
-            mBadArrivalNanos.add(System.nanoTime());
-        }
+        boolean hasBadHead = hasBadPart || mBadRequestId.equals(request.getHeader("Id"));
         mArrivalNanos.computeIfAbsent(id, i -> new ArrayList<>()).add(System.nanoTime());
         request.body()
                 .onSuccess(
                         body -> {
+                            boolean bad = hasBadHead || mBadBody.equals(body.toString());
+                            if (bad) {
+                                mBadArrivalNanos.add(System.nanoTime());
+                            }
                             HttpServerResponse response = request.response().setChunked(true);
                             response.putHeader("Id", request.getHeader("Id"))
                                     .putHeader("Signed", "1")
@@ -135,6 +137,11 @@
         mBadRequestId = id;
     }
 
+    /** Sets the body of the requests that end each target; empty for none. */
+    void setBadBody(String body) {
+        mBadBody = body;
+    }
+
     /** Sets the requests per second that all targets name in their answers; empty for none. */
     void setRequestLimit(String limit) {
         mRequestLimit = limit;
