--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -47,6 +47,7 @@
     private final BatchWork mBatchWork;
     private final PromptGuard mPromptGuard;
     private final ConfigVerifier mConfigVerifier;
+    private final PeerConfigReader mPeerConfigReader;
     private final long mIncarnation;
     private final BooleanSupplier mStoreReachable;
     private final List<StoreMirror> mMirrors;
@@ -75,6 +76,7 @@
             BatchWork batchWork,
             PromptGuard promptGuard,
             ConfigVerifier configVerifier,
+            PeerConfigReader peerConfigReader,
             long incarnation,
             BooleanSupplier storeReachable,
             List<StoreMirror> mirrors) {
@@ -88,6 +90,7 @@
         mBatchWork = batchWork;
         mPromptGuard = promptGuard;
         mConfigVerifier = configVerifier;
+        mPeerConfigReader = peerConfigReader;
         mIncarnation = incarnation;
         mStoreReachable = storeReachable;
         mMirrors = mirrors;
@@ -238,6 +241,7 @@
         mPeers.recordContact(report.getHost(), report.isStoreReachable());
         mLoads.recordReport(report);
         mConfigVerifier.recordReport(report);
+        mPeerConfigReader.recordReport(report);
         if (report.isSetItemRunTimes()) {
             adoptItemRunTimes(report.getItemRunTimes());
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -71,6 +71,7 @@
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
     private final ConfigVerifier mConfigVerifier;
+    private final PeerConfigReader mPeerConfigReader;
     private final StoreMirror mConfigMirror;
     private final StoreMirror mTargetMirror;
     private final StoreMirror mControlMirror;
@@ -109,6 +110,7 @@
         mStoreRelay = new PeerStoreRelay(mPeers, mPeerClient, store, settings.seeds());
         store.setPeerRelay(mStoreRelay::callThroughPeer);
         ConfigUpdater configUpdater = new ConfigUpdater(protocol, mState);
+        mPeerConfigReader = new PeerConfigReader(mState, mPeers, mPeerClient, configUpdater);
         TargetRegistry targetRegistry = new TargetRegistry(vertx, mTicker, protocol, mState);
         mConfigVerifier =
                 mCloser.add(
@@ -191,6 +193,7 @@
                         mJobRunner,
                         mPromptGuard,
                         mConfigVerifier,
+                        mPeerConfigReader,
                         incarnation,
                         store::isDirectlyReachable,
                         List.of(mConfigMirror, mTargetMirror, mControlMirror));
@@ -317,6 +320,9 @@
                 PeerRequest._Fields.REPORT,
                 request ->
                         Future.succeededFuture(mReportExchange.handleReport(request.getReport())));
+        server.registerHandler(
+                PeerRequest._Fields.CONFIG_REQUEST,
+                request -> Future.succeededFuture(mPeerConfigReader.reply()));
         server.registerHandler(
                 PeerRequest._Fields.LOAN,
                 request -> Future.succeededFuture(mRateLimiter.lend(request.getLoan())));
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -271,6 +271,18 @@
   14: optional ConfigConfirmation configConfirmation
 }
 
+// Asks a peer for the configuration in force there.
+struct ConfigRequest {
+}
+
+// The configuration in force at a host, as the store holds it.
+struct ConfigReply {
+  1: string key
+  2: binary value
+  // Revision of the store at which it was written; 0 when the host has none.
+  3: i64 revision
+}
+
 // Asks the coordinator of a service for a target.
 struct PlaceAsk {
   1: string requestId
@@ -383,6 +395,7 @@
   18: PlaceGrant placeGrant
   19: SuspendItem suspendItem
   20: PromptEvidence promptEvidence
+  21: ConfigRequest configRequest
 }
 
 union PeerReply {
@@ -400,6 +413,7 @@
   12: StoreRelayReply storeRelay
   13: JobReadReply jobRead
   14: PlaceAnswer placeAnswer
+  15: ConfigReply config
 }
 
 struct PeerFrame {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConfigInForceTest.java
@@ -55,6 +55,18 @@
         }
     }
 
+    @Test
+    void aNodeToWhichTheStoreIsSilentLearnsAChangeFromItsPeers() throws Exception {
+        try (LoopbackFleet fleet = newFleet(4, CONFIG)) {
+            for (FaultyStore store : mStores.subList(0, 3)) {
+                store.silenceWatches();
+                store.setListDelayMs(TimeUnit.HOURS.toMillis(1));
+            }
+            assertInForceInTime(fleet, 4, 2);
+            assertInForceInTime(fleet, 4, 3);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 4})
     void aChangeThatNoWatchReportsIsFoundAllTheSame(int nodes) throws Exception {
