--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -14,12 +14,15 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
 
@@ -138,6 +141,28 @@
         assertEquals("broken", run(OK + "Content-Length: 9\r\n\r\nab", true));
     }
 
+    /** Returns heads of responses, each cut at each of its bytes; the last one is all but whole. */
+    private static Stream<String> cutHeads() {
+        List<String> heads =
+                List.of(
+                        OK + "Content-Length: 2\r\n\r\n",
+                        OK + "Plain: 1\r\n\r\n",
+                        OK + "Events: 1\r\n\r\n",
+                        EVENTS);
+        return heads.stream()
+                .flatMap(
+                        head ->
+                                IntStream.range(1, head.length())
+                                        .mapToObj(length -> head.substring(0, length)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("cutHeads")
+    void responseThatEndsWithinItsHeadBreaksTheAttempt(String part) throws Exception {
+        assertEquals("broken", run(part, true));
+        assertEquals(List.of("sent"), mRecorder.events());
+    }
+
     @Test
     void bytesThatAreNotHttpBreakTheAttempt() throws Exception {
         assertEquals("broken", run("what is this\r\n\r\n", true));
