--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.Step;
@@ -27,6 +28,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(CallHandler.class);
     private static final long NOT_READY_RETRY_MS = 500;
 
+    /** Time after which a caller may try another host, when only this one stops. */
+    private static final long STOPPING_RETRY_MS = 50;
+
     private final ServingContext mContext;
     private final JobSubmissionHandler mJobSubmissions;
     private int mRunningCalls;
@@ -69,6 +73,7 @@
                 mJobSubmissions.submit(request, headOnly, body, route, customer);
                 return;
             }
+            checkTimeLeft(headOnly, route);
             CallHead head = withContent(headOnly, customer, body);
             checkPrompt(head, route);
             if (customer == null) {
@@ -100,7 +105,7 @@
     private ServingRoute findRoute(CallHead head) throws Problem {
         ServingConfig config = mContext.state().config();
         if (!config.isKnown()) {
-            throw notReady("this host has not read a configuration yet");
+            throw notReady("this host has not read a configuration yet", NOT_READY_RETRY_MS);
         }
         ServingRoute route = config.findRoute(head.host(), head.path());
         if (route == null) {
@@ -115,7 +120,8 @@
      */
     private void checkPrompt(CallHead head, ServingRoute route) throws Problem {
         if (!mContext.promptGuard().isLoaded()) {
-            throw notReady("this host has not read the quarantine of prompts yet");
+            throw notReady(
+                    "this host has not read the quarantine of prompts yet", NOT_READY_RETRY_MS);
         }
         Problem problem = null;
         for (ServiceShare share : route.shares()) {
@@ -131,14 +137,23 @@
         }
     }
 
-    private static Problem notReady(String detail) {
+    /** Rejects a request that may still run when this process stops; another host can take it. */
+    private void checkTimeLeft(CallHead head, ServingRoute route) throws Problem {
+        long budgetNanos = TimeUnit.MILLISECONDS.toNanos(Exchange.budgetMs(head, route));
+        if (!mContext.state().canFinish(mContext.ticker().nanoTime(), budgetNanos)) {
+            throw notReady(
+                    "this host stops before the request is certain to end", STOPPING_RETRY_MS);
+        }
+    }
+
+    private static Problem notReady(String detail, long retryMs) {
         return new Problem(
                 ProblemType.NOT_READY,
                 Step.ROUTE,
                 "node",
                 Execution.NOT_RUN,
                 detail,
-                NOT_READY_RETRY_MS,
+                retryMs,
                 null);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -89,7 +89,8 @@
         mPolicy = new CallPolicy(route.kind(), route.maxAttempts(), deadline);
     }
 
-    private static long budgetMs(CallHead head, ServingRoute route) {
+    /** Returns how long a call may take, milliseconds. */
+    static long budgetMs(CallHead head, ServingRoute route) {
         long budget = head.budgetMs() > 0 ? head.budgetMs() : Long.MAX_VALUE;
         long limit = route.timeoutMs() > 0 ? route.timeoutMs() : Long.MAX_VALUE;
         return Math.min(TimeUnit.HOURS.toMillis(1), Math.min(budget, limit));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -420,7 +420,10 @@
      */
     public Future<Void> stop(CallHandler calls) {
         long startedAt = mTicker.nanoTime();
-        mState.drain();
+        mState.drain(
+                new DrainWindow(
+                        startedAt + TimeUnit.MILLISECONDS.toNanos(BALANCER_LAG_MS),
+                        startedAt + TimeUnit.MILLISECONDS.toNanos(callTimeMs())));
         LOG.info("step=stop host={} running={}", mSettings.host(), calls.runningCalls());
         return mJobRunner
                 .handOver()
@@ -428,10 +431,15 @@
                 .transform(done -> awaitDrained(calls, startedAt));
     }
 
+    /** Returns how long after the start of a stop calls may run, milliseconds. */
+    private long callTimeMs() {
+        return mSettings.stopWithinMs() - STOP_MARGIN_MS;
+    }
+
     private Future<Void> awaitDrained(CallHandler calls, long startedAt) {
         long elapsed = TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - startedAt);
         boolean drained = calls.runningCalls() == 0 && elapsed >= BALANCER_LAG_MS;
-        if (drained || elapsed >= mSettings.stopWithinMs() - STOP_MARGIN_MS) {
+        if (drained || elapsed >= callTimeMs()) {
             LOG.info(
                     "step=stopped host={} running={} ms={}",
                     mSettings.host(),
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
@@ -21,7 +22,7 @@
     private volatile ServingConfig mConfig = ServingConfig.NONE;
     private volatile TargetDirectory mTargets = TargetDirectory.EMPTY;
     private volatile boolean mTargetsKnown;
-    private volatile boolean mDraining;
+    private volatile @Nullable DrainWindow mDrainWindow;
     private volatile Set<String> mLeaving = Set.of();
 
     public ServingConfig config() {
@@ -83,13 +84,22 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Starts draining: the process is about to stop. */
-    public void drain() {
-        mDraining = true;
+    /** Starts draining: the process is about to stop, at the end of {@code window}. */
+    public void drain(DrainWindow window) {
+        mDrainWindow = window;
     }
 
     public boolean isDraining() {
-        return mDraining;
+        return mDrainWindow != null;
+    }
+
+    /**
+     * Returns whether a request that arrives now and may take {@code budgetNanos} is certain to end
+     * before this process does.
+     */
+    public boolean canFinish(long now, long budgetNanos) {
+        DrainWindow window = mDrainWindow;
+        return window == null || window.canFinish(now, budgetNanos);
     }
 
     /**
@@ -97,6 +107,6 @@
      * process is not draining.
      */
     public boolean isReady() {
-        return mConfig.isKnown() && mTargetsKnown && !mDraining;
+        return mConfig.isKnown() && mTargetsKnown && !isDraining();
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/CoordinatorLookupTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/CoordinatorLookupTest.java
@@ -34,7 +34,7 @@
         mPeers.recordContact("other", true);
         long before = coordinatedHere();
         assertEquals(true, before > 0 && before < SERVICES, before + " services");
-        mState.drain();
+        mState.drain(new DrainWindow(0, 0));
         assertEquals(0, coordinatedHere());
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -50,6 +50,7 @@
     private final ServingConfig mConfig;
     private final List<ServingNode> mNodes = new ArrayList<>();
     private final List<Integer> mPorts = new ArrayList<>();
+    private final List<CallHandler> mHandlers = new ArrayList<>();
     private final HttpClient mClient = mVertx.createHttpClient();
     private int mRequests;
     private int mStartedNodes;
@@ -197,6 +198,7 @@
                     mNodes.add(node);
                     CallHandler handler =
                             new CallHandler(node.context(), (r, head, body, route, c) -> {});
+                    mHandlers.add(handler);
                     return node.start()
                             .compose(
                                     v ->
@@ -255,9 +257,15 @@
                     });
         }
         mNodes.clear();
+        mHandlers.clear();
         mPorts.clear();
     }
 
+    /** Starts the planned stop of a node; the result completes when its calls have ended. */
+    Future<Void> beginStop(int node) throws Exception {
+        return onLoop(() -> Future.succeededFuture(mNodes.get(node).stop(mHandlers.get(node))));
+    }
+
     /** Waits until each node knows the others. */
     void awaitPeers(int nodes) throws Exception {
         while (!onLoop(() -> Future.succeededFuture(knowPeers(nodes - 1)))) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -38,6 +38,7 @@
     private String mRequestLimit = "";
     private String mBadRequestId = "";
     private String mBadBody = "";
+    private long mFirstEventMs = EVENT_INTERVAL_MS;
     private final Set<String> mLeaving = new HashSet<>();
     private int mStarted;
 
@@ -88,8 +89,7 @@
                             }
                             String after = request.getHeader("After");
                             long next = after == null ? 1 : Long.parseLong(after) + 1;
-                            mVertx.setTimer(
-                                    EVENT_INTERVAL_MS, t -> sendEvent(id, response, next, bad));
+                            mVertx.setTimer(mFirstEventMs, t -> sendEvent(id, response, next, bad));
                         });
     }
 
@@ -137,6 +137,11 @@
         mBadRequestId = id;
     }
 
+    /** Sets how long a request runs before its first event, milliseconds. */
+    void setFirstEventMs(long firstEventMs) {
+        mFirstEventMs = firstEventMs;
+    }
+
     /** Sets the body of the requests that end each target; empty for none. */
     void setBadBody(String body) {
         mBadBody = body;
