--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerConfigReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerConfigReader.java
@@ -44,14 +44,15 @@
         mPending = true;
         mPeerClient
                 .call(peer.address(), PeerRequest.configRequest(new ConfigRequest()), TIMEOUT_MS)
-                .onSuccess(reply -> adopt(reply.getConfig()))
+                .onComplete(done -> mPending = false)
+                .map(PeerReply::getConfig)
+                .onSuccess(this::adopt)
                 .onFailure(
                         e ->
                                 LOG.info(
                                         "step=config peer={} outcome=not-read cause={}",
                                         peer.name(),
-                                        e.getMessage()))
-                .onComplete(done -> mPending = false);
+                                        e.getMessage()));
     }
 
     private void adopt(ConfigReply reply) {
