--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/Suspect.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/Suspect.java
@@ -26,6 +26,11 @@
         return service.equals(requestService) && prompt.shared().containsAll(parts);
     }
 
+    /** Returns whether only requests with one content can match. */
+    public boolean isContent() {
+        return parts.stream().anyMatch(PromptParts::isWhole);
+    }
+
     /** Returns whether only one item of a job can match. */
     public boolean isSingleItem() {
         return parts.stream().anyMatch(PromptParts::isItem);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
@@ -17,7 +17,7 @@
                 Step.ADMIT,
                 service,
                 Execution.NOT_RUN,
-                detail(entry) + "; change or leave out the part",
+                detail(entry) + advice(entry),
                 retryAfterMs(entry),
                 null);
     }
@@ -35,7 +35,13 @@
     }
 
     private static String detail(PromptQuarantine.Entry entry) {
-        return "several targets ended under the prompt's part " + entry.suspect().label();
+        return entry.suspect().isContent()
+                ? "several targets ended under this request"
+                : "several targets ended under the prompt's part " + entry.suspect().label();
+    }
+
+    private static String advice(PromptQuarantine.Entry entry) {
+        return entry.suspect().isContent() ? "; change it" : "; change or leave out the part";
     }
 
     /** Returns the time after which a caller may try a prompt in quarantine again, milliseconds. */
