--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -206,7 +206,7 @@
         List<SeenEnd> ends = settledEnds(service, now);
         List<Score> scores = new ArrayList<>();
         for (String part : partsOfSeveral(ends, PromptParts::isWhole)) {
-            double sum = ends.stream().mapToDouble(seen -> seen.end().weightOf(part)).sum();
+            double sum = contentScore(part, ends);
             if (sum >= MIN_SCORE && sum >= successes(service, part)) {
                 scores.add(new Score(part, targetsOf(part, ends), sum));
             }
@@ -220,6 +220,18 @@
         }
     }
 
+    /**
+     * Returns the sum of the weighted ends under a content. Targets with registrations of their own
+     * count one by one, also when they end at one moment: the same request may come at several
+     * hosts at once. Targets known by name may be processes of one machine, which count once.
+     */
+    private double contentScore(String content, List<SeenEnd> ends) {
+        if (mIdentity == TargetIdentity.NAME) {
+            return score(content, ends).sum();
+        }
+        return ends.stream().mapToDouble(seen -> seen.end().weightOf(content)).sum();
+    }
+
     private static Set<String> targetsOf(String part, List<SeenEnd> ends) {
         Set<String> targets = new HashSet<>();
         for (SeenEnd seen : ends) {
