--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
@@ -1,11 +1,12 @@
 package org.sesamepin.core.prompt;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.zip.Adler32;
+import java.util.zip.CRC32;
+import java.util.zip.Checksum;
 import org.sesamepin.core.key.KeyDigest;
 
 /**
@@ -93,24 +94,28 @@
 
     /**
      * Returns these parts and one that stands for the whole content of a request: who sent what to
-     * which path. It is the same for each request of that content, whatever its id.
+     * which path. It is the same for each request of that content, whatever its id. The content is
+     * told by checksums, since each request needs them; as the customer's name stands in front, a
+     * customer can make them collide with its own requests only.
      *
      * @param customer name of the customer; empty for an anonymous caller
      * @param uri path and query
      */
     public PromptParts withContent(String customer, String uri, byte[] body) {
-        MessageDigest sha256 = KeyDigest.sha256();
-        for (String field : List.of(customer, uri)) {
-            byte[] bytes = field.getBytes(StandardCharsets.UTF_8);
-            sha256.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
-            sha256.update(bytes);
-        }
-        String whole = HexFormat.of().formatHex(sha256.digest(body));
+        byte[] path = uri.getBytes(StandardCharsets.UTF_8);
+        String name = customer.length() <= MAX_ID_CHARS ? customer : digest(customer);
+        String sums = checksum(new CRC32(), path, body) + checksum(new Adler32(), path, body);
         List<String> parts = new ArrayList<>(shared);
-        parts.add(WHOLE_PREFIX + whole.substring(0, WHOLE_DIGEST_CHARS));
+        parts.add(WHOLE_PREFIX + name + '/' + sums + path.length + '-' + body.length);
         return new PromptParts(parts);
     }
 
+    private static String checksum(Checksum checksum, byte[] path, byte[] body) {
+        checksum.update(path, 0, path.length);
+        checksum.update(body, 0, body.length);
+        return Long.toHexString(checksum.getValue()) + '-';
+    }
+
     /** Returns the ids for a log line, separated by {@code +}; {@code -} when there are none. */
     public String label() {
         return shared.isEmpty() ? "-" : String.join("+", shared);
