Keep the bytes of one answer apart from those of another on a connection

Cause: bytes on a pooled connection that form no message yet (a late second answer that arrives cut, or surplus bytes behind an answer) stay in the library's decoder, and the head of the next answer is read as the rest of that line. Class: a connection is used again without proof that its input is at the begin of a message.

ClientCodec takes the place of the library's codec on connections to targets and holds three rules, whatever the order of the bytes. (1) Bytes that no request awaits, before a request is written or behind its answer, end the connection, also when they form no message. (2) A head is one head: it begins with the status line's first byte, has a known version, and no second status line in its reason or in a header value; otherwise the request fails with ForeignBytesException: outcome unknown, repeated elsewhere if it may be, and no evidence against its prompt. (3) A connection with either, or with bytes that could not be decoded, is not used again: a request that gets it from the pool before it is closed takes a new one. A head with both a length and chunks is refused too. An answer followed by surplus bytes counts, as before.

Why this is enough for late answers before the next head: the own answer, written whole, always brings its own status line. Behind any prefix of another head, that line ends in the status line (two versions, or a code that is no number), in the reason, in a header's value, or in a header's name, which may not have a slash. Behind a whole foreign head the id differs.

--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -0,0 +1,210 @@
+package org.sesamepin.node.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.impl.ConnectionBase;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Codec of a client's connection that keeps the bytes of one response apart from those of another.
+ * Bytes that no request awaits, before a request or behind a response, end the connection: they may
+ * be the begin of a message, and the next response would be read as the rest of it. A response
+ * whose head is not one head fails its request with {@link ForeignBytesException}.
+ */
+public final class ClientCodec
+        extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
+    /** The bytes received for a request are not one response. */
+    public static final class ForeignBytesException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        ForeignBytesException(String message) {
+            super(message);
+        }
+    }
+
+    private static final String HANDLER_NAME = "codec";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
+
+    /** Method of the request whose response is not complete; null when there is none. */
+    private @Nullable HttpMethod mAwaited;
+
+    private volatile boolean mUnusable;
+
+    private ClientCodec(HttpClientOptions options) {
+        init(new Decoder(decoderConfig(options)), new HttpRequestEncoder());
+    }
+
+    private static HttpDecoderConfig decoderConfig(HttpClientOptions options) {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(options.getMaxInitialLineLength())
+                .setMaxHeaderSize(options.getMaxHeaderSize())
+                .setMaxChunkSize(options.getMaxChunkSize())
+                .setInitialBufferSize(options.getDecoderInitialBufferSize());
+    }
+
+    /**
+     * Installs the codec on a new connection.
+     *
+     * @param options options of the client, which must not use HTTP/2, nor decompress responses
+     */
+    public static void install(HttpConnection connection, HttpClientOptions options) {
+        ((ConnectionBase) connection)
+                .channelHandlerContext()
+                .pipeline()
+                .replace(HANDLER_NAME, HANDLER_NAME, new ClientCodec(options));
+    }
+
+    /**
+     * Returns whether a request may be sent on a connection. One that ends may still be in a pool
+     * for a moment.
+     */
+    public static boolean isUsable(HttpConnection connection) {
+        ChannelHandlerContext context = ((ConnectionBase) connection).channelHandlerContext();
+        ClientCodec codec = context.pipeline().get(ClientCodec.class);
+        return context.channel().isActive() && codec != null && !codec.mUnusable;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise)
+            throws Exception {
+        if (msg instanceof HttpRequest request) {
+            mAwaited = request.method();
+        }
+        super.write(ctx, msg, promise);
+    }
+
+    private final class Decoder extends HttpResponseDecoder {
+        private boolean mInMessage;
+        private boolean mInFinalResponse;
+
+        Decoder(HttpDecoderConfig config) {
+            super(config);
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return HttpMethod.HEAD.equals(mAwaited) || super.isContentAlwaysEmpty(message);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException(
+                    "both Content-Length and Transfer-Encoding: chunked");
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+                throws Exception {
+            if (mUnusable || mAwaited == null) {
+                endConnection(ctx, in);
+                return;
+            }
+            if (!mInMessage && in.getByte(in.readerIndex()) != 'H') {
+                failRequest(ctx, in, out, "bytes before a status line");
+                return;
+            }
+            mInMessage = true;
+            int firstNew = out.size();
+            super.decode(ctx, in, out);
+            List<Object> messages = out.subList(firstNew, out.size());
+            for (Object message : messages) {
+                if (message instanceof HttpResponse head && !isOneHead(head)) {
+                    messages.forEach(ReferenceCountUtil::release);
+                    messages.clear();
+                    failRequest(ctx, in, out, "a status line within a head");
+                    return;
+                }
+                onMessage(ctx, in, message);
+            }
+        }
+
+        private void onMessage(ChannelHandlerContext ctx, ByteBuf in, Object message) {
+            if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+                endConnection(ctx, in);
+                return;
+            }
+            if (message instanceof HttpResponse head) {
+                mInFinalResponse = head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+            }
+            if (message instanceof LastHttpContent) {
+                mInMessage = false;
+                if (mInFinalResponse) {
+                    mInFinalResponse = false;
+                    mAwaited = null;
+                    if (in.isReadable()) {
+                        endConnection(ctx, in);
+                    }
+                }
+            }
+        }
+
+        /** Returns whether a decoded head has no part of another head in it. */
+        private boolean isOneHead(HttpResponse head) {
+            if (head.decoderResult().isFailure()) {
+                return true;
+            }
+            HttpVersion version = head.protocolVersion();
+            boolean isKnownVersion =
+                    version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
+            if (!isKnownVersion || STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+                return false;
+            }
+            for (Map.Entry<String, String> header : head.headers()) {
+                if (STATUS_LINE.matcher(header.getValue()).find()) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private void failRequest(
+                ChannelHandlerContext ctx, ByteBuf in, List<Object> out, String reason) {
+            DefaultFullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+            response.setDecoderResult(DecoderResult.failure(new ForeignBytesException(reason)));
+            out.add(response);
+            endConnection(ctx, in);
+        }
+
+        private void endConnection(ChannelHandlerContext ctx, ByteBuf in) {
+            in.skipBytes(in.readableBytes());
+            if (!mUnusable) {
+                mUnusable = true;
+                ctx.close();
+            }
+        }
+
+        @Override
+        protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+                throws Exception {
+            if (!mUnusable && mInFinalResponse) {
+                super.decodeLast(ctx, in, out);
+            } else {
+                in.skipBytes(in.readableBytes());
+            }
+        }
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -10,6 +10,7 @@
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetLoad;
 import org.sesamepin.core.time.Ticker;
+import org.sesamepin.node.http.ClientCodec;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.IdleTimeout;
 import org.sesamepin.node.http.ResponseBody;
@@ -173,12 +174,18 @@
         }
         mIdleTimeout.start();
         request.exceptionHandler(e -> endDisconnected("connection failed: " + e.getMessage()));
-        request.response()
-                .onSuccess(this::onResponseHead)
-                .onFailure(e -> endDisconnected("no response: " + e));
+        request.response().onSuccess(this::onResponseHead).onFailure(this::onNoResponse);
         request.end(mPlan.body());
     }
 
+    private void onNoResponse(Throwable cause) {
+        if (cause instanceof ClientCodec.ForeignBytesException) {
+            endInterrupted("no response of its own: " + cause.getMessage());
+        } else {
+            endDisconnected("no response: " + cause);
+        }
+    }
+
     private boolean isPromptQuarantined() {
         CallHead head = mPlan.head();
         return mContext.promptGuard().blocking(mTarget.service(), head.prompt(), head.id()) != null;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -15,6 +15,7 @@
 import org.sesamepin.core.bundle.Target;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.node.http.ClientCodec;
 
 /**
  * HTTP client for targets. Each request that must not be repeated gets a new connection: a pooled
@@ -34,8 +35,17 @@
     /** Creates a client; connections are opened on demand. */
     public TargetClient(Vertx vertx) {
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_POOLED_CONNECTIONS);
-        mPooled = vertx.createHttpClient(clientOptions().setKeepAlive(true), pool);
-        mUnpooled = vertx.createHttpClient(clientOptions().setKeepAlive(false), pool);
+        mPooled = createClient(vertx, clientOptions().setKeepAlive(true), pool);
+        mUnpooled = createClient(vertx, clientOptions().setKeepAlive(false), pool);
+    }
+
+    private static HttpClientAgent createClient(
+            Vertx vertx, HttpClientOptions options, PoolOptions pool) {
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(connection -> ClientCodec.install(connection, options))
+                .build();
     }
 
     private static HttpClientOptions clientOptions() {
@@ -84,7 +94,17 @@
                                         new SesamepinException(
                                                 Step.CONNECT,
                                                 name,
-                                                "cannot connect: " + e.getMessage())));
+                                                "cannot connect: " + e.getMessage())))
+                .compose(request -> replaceIfUnusable(request, name, options, repeatable));
+    }
+
+    private Future<HttpClientRequest> replaceIfUnusable(
+            HttpClientRequest request, String name, RequestOptions options, boolean repeatable) {
+        if (!repeatable || ClientCodec.isUsable(request.connection())) {
+            return Future.succeededFuture(request);
+        }
+        request.reset();
+        return open(name, options, false);
     }
 
     /**
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/SocketTarget.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/SocketTarget.java
@@ -38,6 +38,14 @@
         void answer(Link link, String id, int number) throws IOException;
     }
 
+    /** How a connection ends after a response. */
+    enum End {
+        FIN,
+        RESET,
+        HALF_CLOSE,
+        NONE
+    }
+
     /** The target's end of a connection. */
     static final class Link {
         private final Socket mSocket;
@@ -59,19 +67,17 @@
             mUnreadBytes = 0;
         }
 
-        /** Sends a FIN and goes on reading. */
-        void halfClose() throws IOException {
-            mSocket.shutdownOutput();
-        }
-
-        void close() throws IOException {
-            mSocket.close();
-        }
-
-        /** Closes the connection with a reset. */
-        void reset() throws IOException {
-            mSocket.setSoLinger(true, 0);
-            mSocket.close();
+        /** Ends the connection as {@code end} names it. */
+        void end(End end) throws IOException {
+            switch (end) {
+                case FIN -> mSocket.close();
+                case RESET -> {
+                    mSocket.setSoLinger(true, 0);
+                    mSocket.close();
+                }
+                case HALF_CLOSE -> mSocket.shutdownOutput();
+                case NONE -> readBody();
+            }
         }
 
         private @Nullable String readHead() throws IOException {
@@ -95,7 +101,7 @@
     private final Script mScript;
     private final TargetInstance mInstance;
     private final List<Link> mLinks = new CopyOnWriteArrayList<>();
-    private final AtomicInteger mAccepted = new AtomicInteger();
+    private final AtomicInteger mUsedLinks = new AtomicInteger();
 
     /** Starts a target of the service {@code s} on a free port. */
     SocketTarget(String id, Script script) throws IOException {
@@ -117,7 +123,6 @@
             while (true) {
                 Socket socket = mServer.accept();
                 socket.setTcpNoDelay(true);
-                mAccepted.incrementAndGet();
                 Link link = new Link(socket);
                 mLinks.add(link);
                 startThread(() -> serve(link));
@@ -133,6 +138,9 @@
             String head = link.readHead();
             while (head != null) {
                 number++;
+                if (number == 1) {
+                    mUsedLinks.incrementAndGet();
+                }
                 Matcher id = ID.matcher(head);
                 mScript.answer(link, id.find() ? id.group(1) : "", number);
                 link.readBody();
@@ -148,16 +156,16 @@
         return mInstance;
     }
 
-    /** Returns how many connections were opened. */
+    /** Returns on how many connections a request was received. */
     int connections() {
-        return mAccepted.get();
+        return mUsedLinks.get();
     }
 
     @Override
     public void close() throws IOException {
         mServer.close();
         for (Link link : mLinks) {
-            link.close();
+            link.end(End.FIN);
         }
     }
 }
