Show begun streams that are cut because their last target is silent

Callers of resumable streams see the connection end within the answer although the target that runs the stream is sound and time is left.

Over real sockets (FrontServer, raw caller and targets; route of 5 s, latency and gap objective 300 ms, maxAttempts 2): the first target stops after three events, the second is silent for 1.2 s before it goes on. The caller's connection ended within the answer at 1,916 ms (1 of 1).

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +39,9 @@
     private static final String HEAD_END = "\r\n\r\n";
     private static final int TARGETS = 3;
 
+    /** Longer than a target may be silent while another one could continue the stream. */
+    private static final long SILENCE_MS = 1_200;
+
     private final Vertx mVertx = Vertx.vertx();
     private final ServingFixture mFixture = new ServingFixture(mVertx);
     private final AtomicInteger mRequests = new AtomicInteger();
@@ -258,6 +262,49 @@
         assertTrue(isComplete(response), response);
     }
 
+    /** Guards against cutting a begun stream when its last target is only slow. */
+    @Tag("known-red")
+    @Test
+    void silenceOfTheLastTargetDoesNotCutAStream() throws Exception {
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number == 1) {
+                                beginAndBreakOff(socket);
+                            } else {
+                                mVertx.setTimer(SILENCE_MS, t -> socket.write(continuation()));
+                            }
+                        });
+        String response = call(port);
+        assertEquals("e1 e2 e3", eventsOf(response), response);
+        assertTrue(isComplete(response), response);
+    }
+
+    /** Guards against cutting a stream that began at the last target and pauses. */
+    @Tag("known-red")
+    @Test
+    void pauseOfTheLastTargetDoesNotCutAStream() throws Exception {
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number == 1) {
+                                socket.close();
+                                return;
+                            }
+                            socket.write(
+                                    RawTarget.streamHead("r1")
+                                            + RawTarget.event(1)
+                                            + RawTarget.event(2));
+                            String rest = RawTarget.event(3) + RawTarget.lastChunk();
+                            mVertx.setTimer(SILENCE_MS, t -> socket.write(rest));
+                        });
+        String response = call(port);
+        assertEquals("e1 e2 e3", eventsOf(response), response);
+        assertTrue(isComplete(response), response);
+    }
+
     /** A response must not combine the head of one run with the events of another. */
     @Test
     void headIsThatOfTheRunWhoseEventsAreForwarded() throws Exception {
