--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
@@ -59,6 +60,7 @@
     private int mMaxValueBytes = Integer.MAX_VALUE;
     private int mRejectedWrites;
     private int mFailingLists;
+    private @Nullable Promise<Void> mHeldList;
     private Supplier<Fault> mFaultSource = () -> Fault.NONE;
 
     /** Creates an empty store. */
@@ -89,6 +91,13 @@
         mFailingLists = count;
     }
 
+    /** Reads the next list at once, and answers it when the returned promise is completed. */
+    public Promise<Void> holdNextList() {
+        Promise<Void> release = Promise.promise();
+        mHeldList = release;
+        return release;
+    }
+
     /** Carries out the writes with the fault {@link Fault#LATE} whose conditions hold now. */
     public void applyLateWrites() {
         List<StoreTransaction> late = List.copyOf(mLateWrites);
@@ -153,7 +162,10 @@
         }
         List<StoreEntry> found =
                 mEntries.values().stream().filter(e -> e.key().startsWith(prefix)).toList();
-        return Future.succeededFuture(new StoreListing(mRevision, found));
+        StoreListing listing = new StoreListing(mRevision, found);
+        Promise<Void> release = mHeldList;
+        mHeldList = null;
+        return release == null ? Future.succeededFuture(listing) : release.future().map(listing);
     }
 
     @Override
