Test streams while targets of two software versions serve, known to fail

The test plays it on real sockets: two nodes, targets of v1 and v1.1 whose events name their version, 40 streams or items, each broken off once, with and without a coordinator.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -152,19 +153,22 @@
 
     /** Starts the targets and the nodes, and waits until the nodes know all targets. */
     void start(int nodes, int targets) throws Exception {
+        start(nodes, Collections.nCopies(targets, StandInTargets.VERSION));
+    }
+
+    /** Starts a target of each of {@code versions} and the nodes, as {@link #start} does. */
+    void start(int nodes, List<String> versions) throws Exception {
         onLoop(
                 () -> {
                     mStore.commit(new StoreTransaction().put("config/c", "1"));
-                    for (int i = 0; i < targets; i++) {
-                        mTargets.startOne();
-                    }
+                    versions.forEach(mTargets::startOne);
                     return Future.succeededFuture();
                 });
         for (int i = 0; i < nodes; i++) {
             startNode();
         }
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
-        while (!onLoop(() -> Future.succeededFuture(knowsTargets(targets)))) {
+        while (!onLoop(() -> Future.succeededFuture(knowsTargets(versions.size())))) {
             if (System.nanoTime() - deadline > 0) {
                 throw new IllegalStateException("the nodes do not learn the targets");
             }
@@ -173,6 +177,17 @@
         awaitPeers(nodes);
     }
 
+    /** Waits until each node knows this number of ready targets. */
+    void awaitTargets(int targets) throws Exception {
+        while (!onLoop(() -> Future.succeededFuture(knowsTargets(targets)))) {
+            Thread.sleep(20);
+        }
+    }
+
+    int port(int node) {
+        return mPorts.get(node);
+    }
+
     private boolean knowsTargets(int targets) {
         return mNodes.stream()
                 .map(node -> node.context().state().targets())
@@ -221,7 +236,7 @@
                         "/x",
                         null,
                         5_000,
-                        null,
+                        request.getHeader("After"),
                         request.headers(),
                         protocol.promptParts(request.headers())));
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -16,14 +16,16 @@
 import org.sesamepin.node.spi.WatchableStore;
 
 /**
- * Targets that stream a few events and that end, as a crashed process does, shortly after they
- * begin to answer a request with a bad part. An ended target refuses connections at once; its
- * registration lapses later, and a replacement registers. Confined to one event loop.
+ * Targets that stream a few events, each of which names the version of the target's software, and
+ * that end, as a crashed process does, shortly after they begin to answer a request with a bad
+ * part. An ended target refuses connections at once; its registration lapses later, and a
+ * replacement registers. Confined to one event loop.
  */
 final class StandInTargets {
     static final String SERVICE = "s";
     static final int SLOTS = 8;
-    private static final int EVENTS = 8;
+    static final int EVENTS = 8;
+    static final String VERSION = "v1";
     private static final long EVENT_INTERVAL_MS = 15;
     private static final long REPLACEMENT_MS = 400;
     private static final long LAPSE_MS = 900;
@@ -32,6 +34,8 @@
     private final WatchableStore mStore;
     private final Set<String> mBadParts;
     private final Map<String, HttpServer> mServers = new HashMap<>();
+    private final Map<String, String> mVersions = new HashMap<>();
+    private final Set<String> mBrokenRequests = new HashSet<>();
     private final List<Long> mEndNanos = new ArrayList<>();
     private final List<Long> mBadArrivalNanos = new ArrayList<>();
     private final Map<String, List<Long>> mArrivalNanos = new HashMap<>();
@@ -40,6 +44,7 @@
     private String mBadBody = "";
     private long mFirstEventMs = EVENT_INTERVAL_MS;
     private final Set<String> mLeaving = new HashSet<>();
+    private int mBreakAfterEvents;
     private int mStarted;
 
     StandInTargets(Vertx vertx, WatchableStore store, Set<String> badParts) {
@@ -50,7 +55,13 @@
 
     /** Starts a target and registers it. */
     void startOne() {
+        startOne(VERSION);
+    }
+
+    /** Starts a target with a version of its software and registers it. */
+    void startOne(String version) {
         String id = "t" + ++mStarted;
+        mVersions.put(id, version);
         HttpServer server = mVertx.createHttpServer();
         server.requestHandler(request -> answer(id, request))
                 .listen(0, "127.0.0.1")
@@ -62,7 +73,9 @@
     }
 
     private void register(String id, int port) {
-        mStore.commit(new StoreTransaction().put("targets/" + id, id + " " + port));
+        mStore.commit(
+                new StoreTransaction()
+                        .put("targets/" + id, id + " " + port + " " + mVersions.get(id)));
     }
 
     private void answer(String id, HttpServerRequest request) {
@@ -90,14 +103,26 @@
                             String after = request.getHeader("After");
                             long next = after == null ? 1 : Long.parseLong(after) + 1;
                             mVertx.setTimer(mFirstEventMs, t -> sendEvent(id, response, next, bad));
+                            breakOffOnce(request, next);
                         });
     }
 
+    /** Ends the connection of a request's first answer within its stream. */
+    private void breakOffOnce(HttpServerRequest request, long firstEvent) {
+        if (mBreakAfterEvents == 0
+                || firstEvent > 1
+                || !mBrokenRequests.add(request.getHeader("Id"))) {
+            return;
+        }
+        long delayMs = mFirstEventMs + (mBreakAfterEvents - 1) * EVENT_INTERVAL_MS;
+        mVertx.setTimer(delayMs + 1, t -> request.connection().close());
+    }
+
     private void sendEvent(String id, HttpServerResponse response, long event, boolean bad) {
         if (response.closed()) {
             return;
         }
-        response.write("id: " + event + "\ndata: x\n\n");
+        response.write("id: " + event + "\ndata: " + mVersions.get(id) + "\n\n");
         if (bad) {
             mVertx.setTimer(EVENT_INTERVAL_MS, t -> end(id));
             return;
@@ -119,7 +144,29 @@
         server.close();
         mVertx.setTimer(
                 LAPSE_MS, t -> mStore.commit(new StoreTransaction().delete("targets/" + id)));
-        mVertx.setTimer(REPLACEMENT_MS, t -> startOne());
+        String version = mVersions.getOrDefault(id, VERSION);
+        mVertx.setTimer(REPLACEMENT_MS, t -> startOne(version));
+    }
+
+    /** Stops the targets of a version for good and removes their registrations at once. */
+    void stopAll(String version) {
+        for (String id : running()) {
+            HttpServer server = mServers.get(id);
+            if (server != null && version.equals(mVersions.get(id))) {
+                mServers.remove(id);
+                server.close();
+                mStore.commit(new StoreTransaction().delete("targets/" + id));
+            }
+        }
+    }
+
+    /**
+     * Lets the connection of each request's first answer end within its stream.
+     *
+     * @param events least number of events before its end; 0 for whole streams
+     */
+    void setBreakAfterEvents(int events) {
+        mBreakAfterEvents = events;
     }
 
     /** Lets a target say in its answers that it leaves, while its registration stays as it is. */
