--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -22,11 +22,21 @@
     private final PeerClient mPeerClient;
     private final TargetClient mTargetClient;
     private final PeerTable mPeers = new PeerTable(Ticker.SYSTEM, "self", 1);
-    private final ServingState mState = new ServingState();
+    private final ServingState mState;
     private final ServingContext mContext;
 
     /** Creates the components. */
     public ServingFixture(Vertx vertx) {
+        this(vertx, Ticker.SYSTEM, new LocalStreamOrigins(Ticker.SYSTEM, () -> 60_000, 1_000));
+    }
+
+    /**
+     * Creates the components.
+     *
+     * @param stateTicker clock of what the host knows of the targets
+     */
+    ServingFixture(Vertx vertx, Ticker stateTicker, StreamOrigins streamOrigins) {
+        mState = new ServingState(stateTicker);
         mPeerClient = new PeerClient(vertx);
         mTargetClient = new TargetClient(vertx);
         LoadTable loads = new LoadTable(Ticker.SYSTEM);
@@ -63,7 +73,7 @@
                                         ServingKeys.promptQuarantinePrefix(),
                                         new MemoryStore()::commit)),
                         new EventLoopLag(vertx, Ticker.SYSTEM),
-                        new LocalStreamOrigins(Ticker.SYSTEM, () -> 60_000, 1_000),
+                        streamOrigins,
                         metrics);
     }
 
