Test streams and take-ups while versions come and go

Two nodes, 40 streams each broken off once, with versions that start, stop and come back meanwhile; callers take up what broke off. 0 joined, at least half whole, in both runs.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamVersionsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamVersionsTest.java
@@ -203,4 +203,42 @@
             }
         }
     }
+
+    /** Versions go forward and back, three at once, while every stream breaks off. */
+    @ParameterizedTest
+    @ValueSource(ints = {StandInTargets.SLOTS, 0})
+    void noStreamIsJoinedWhileVersionsComeAndGo(int slots) throws Exception {
+        try (LoopbackFleet fleet = start(slots, TWO_OF_EACH)) {
+            fleet.targets().setBreakAfterEvents(EVENTS_BEFORE_BREAK);
+            StreamCaller caller = new StreamCaller(fleet.vertx());
+            fleet.onLoop(
+                    () -> {
+                        StandInTargets targets = fleet.targets();
+                        fleet.vertx().setTimer(100, t -> targets.startOne("v1.2"));
+                        fleet.vertx().setTimer(200, t -> targets.stopAll("v1"));
+                        fleet.vertx().setTimer(300, t -> targets.startOne("v1"));
+                        fleet.vertx().setTimer(400, t -> targets.startOne("v1.2"));
+                        return Future.succeededFuture();
+                    });
+            List<Answer> answers =
+                    callAll(
+                            fleet,
+                            i -> {
+                                int port = fleet.port(i % NODES);
+                                return caller.read(port, "a" + i)
+                                        .compose(first -> takeUpUnlessWhole(caller, port, first));
+                            });
+            assertEquals(0, joined(answers), answers.toString());
+            assertTrue(whole(answers) >= STREAMS / 2, answers.toString());
+        }
+    }
+
+    private static Future<Answer> takeUpUnlessWhole(StreamCaller caller, int port, Answer first) {
+        if (first.isWhole() || first.versions().isEmpty()) {
+            return Future.succeededFuture(first);
+        }
+        return caller.takeUp(
+                        port, "again-" + first.id(), List.of(first.id()), first.versions().size())
+                .map(first::with);
+    }
 }
