--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -139,7 +139,7 @@
 
     /** Rejects a request that may still run when this process stops; another host can take it. */
     private void checkTimeLeft(CallHead head, ServingRoute route) throws Problem {
-        long budgetNanos = TimeUnit.MILLISECONDS.toNanos(Exchange.budgetMs(head, route));
+        long budgetNanos = TimeUnit.MILLISECONDS.toNanos(CallLimits.budgetMs(head, route));
         if (!mContext.state().canFinish(mContext.ticker().nanoTime(), budgetNanos)) {
             throw notReady(
                     "this host stops before the request is certain to end", STOPPING_RETRY_MS);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.call.CallPolicy;
-import org.sesamepin.core.error.Execution;
-import org.sesamepin.core.error.Step;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.serving.CustomerSpec;
 import org.sesamepin.core.serving.RouteKind;
@@ -20,7 +18,6 @@
 import org.sesamepin.core.serving.TargetSoftware;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
-import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.prompt.QuarantineProblems;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,18 +30,8 @@
 final class Exchange implements TargetAttempt.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
 
-    /**
-     * A caller whose time budget is below this fraction of the route's timeout counts as a retry
-     * after a rejection.
-     */
-    private static final double FIRST_CALL_BUDGET_FRACTION = 0.95;
-
     private static final String UNKNOWN_ORIGIN = "unknown";
     private static final long MIN_BUDGET_MS = 5;
-    private static final long MIN_RETRY_AFTER_MS = 150;
-    private static final long RETRY_AFTER_JITTER_MS = 700;
-    private static final long MIN_IDLE_TIMEOUT_MS = 400;
-    private static final int IDLE_TIMEOUT_GAPS = 3;
 
     private final ServingContext mContext;
     private final HttpServerResponse mResponse;
@@ -99,18 +86,11 @@
         mOnEnd = onEnd;
         mService = route.selectService(ThreadLocalRandom.current().nextDouble());
         mStreamId = head.id();
-        long budget = budgetMs(head, route);
+        long budget = CallLimits.budgetMs(head, route);
         long deadline = arrivedAt + TimeUnit.MILLISECONDS.toNanos(budget);
         mPolicy = new CallPolicy(route.kind(), route.maxAttempts(), deadline);
     }
 
-    /** Returns how long a call may take, milliseconds. */
-    static long budgetMs(CallHead head, ServingRoute route) {
-        long budget = head.budgetMs() > 0 ? head.budgetMs() : Long.MAX_VALUE;
-        long limit = route.timeoutMs() > 0 ? route.timeoutMs() : Long.MAX_VALUE;
-        return Math.min(TimeUnit.HOURS.toMillis(1), Math.min(budget, limit));
-    }
-
     /** Starts the call: sets the deadline and sends the request to a first target. */
     void start() {
         mResponse.closeHandler(v -> onCallerDisconnected());
@@ -184,7 +164,7 @@
                         mHead.id(),
                         mService,
                         mRank,
-                        isRetry(),
+                        CallLimits.isRetry(mHead, mRoute),
                         mRoute.latencyObjectiveMs(),
                         remainingMs,
                         Set.copyOf(mTriedTargets),
@@ -200,15 +180,6 @@
                 .anyMatch(target -> !mTriedTargets.contains(target.incarnation()));
     }
 
-    /**
-     * Returns whether the caller was rejected before: a retry has less time than the route's
-     * timeout.
-     */
-    private boolean isRetry() {
-        return mHead.budgetMs() > 0
-                && mHead.budgetMs() < mRoute.timeoutMs() * FIRST_CALL_BUDGET_FRACTION;
-    }
-
     private void onPlacement(PlacementResult placement) {
         if (mEnded) {
             return;
@@ -258,7 +229,7 @@
                         resumeAfter,
                         false,
                         !isNewTarget || !mRoute.kind().mayRepeat(),
-                        idleTimeoutMs());
+                        CallLimits.idleTimeoutMs(mRoute));
         StreamEventGate gate =
                 new StreamEventGate(
                         this, () -> isReplaced(target), () -> recordStart(target.software()));
@@ -283,18 +254,6 @@
         return mContext.streamOrigins().record(streamId, new StreamOrigin(software, mCustomer));
     }
 
-    /**
-     * Returns how long a target may send nothing, milliseconds; 0 (no limit) unless another target
-     * could continue the call.
-     */
-    private long idleTimeoutMs() {
-        if (!mRoute.kind().mayRepeat() || mRoute.maxAttempts() < 2) {
-            return 0;
-        }
-        long eventGapMs = Math.max(mRoute.latencyObjectiveMs(), mRoute.maxEventIntervalMs());
-        return Math.max(MIN_IDLE_TIMEOUT_MS, eventGapMs * IDLE_TIMEOUT_GAPS);
-    }
-
     @Override
     public void onSent() {
         mPolicy.recordSend();
@@ -424,34 +383,18 @@
         switch (decision) {
             case SEND, RESUME -> placeAndSend();
             case REFUSE -> sendNoTarget(reason);
-            case FAIL -> sendFailure(ProblemType.TARGET_FAILED, reason);
-            case TIME_OUT -> sendFailure(ProblemType.TARGET_TIMEOUT, reason);
+            case FAIL -> sendProblem(CallProblems.targetFailed(mService, reason));
+            case TIME_OUT -> sendProblem(CallProblems.targetTimeout(mService, reason));
             case BREAK_OFF -> abortResponse(reason);
         }
     }
 
     private void sendNoTarget(String reason) {
         PromptQuarantine.Entry quarantine = mQuarantine;
-        if (quarantine != null) {
-            sendProblem(QuarantineProblems.notRun(mService, quarantine));
-            return;
-        }
-        long jitter = ThreadLocalRandom.current().nextLong(RETRY_AFTER_JITTER_MS);
-        long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, mRetryAfterMs) + jitter;
         sendProblem(
-                new Problem(
-                        ProblemType.NO_TARGET,
-                        Step.ADMIT,
-                        mService,
-                        Execution.NOT_RUN,
-                        reason,
-                        retryAfterMs,
-                        null));
-    }
-
-    private void sendFailure(ProblemType type, String reason) {
-        Step step = Step.AWAIT_RESPONSE;
-        sendProblem(new Problem(type, step, mService, Execution.UNKNOWN, reason, 0, null));
+                quarantine == null
+                        ? CallProblems.noTarget(mService, reason, mRetryAfterMs)
+                        : QuarantineProblems.notRun(mService, quarantine));
     }
 
     private void sendProblem(Problem problem) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -119,6 +119,11 @@
         pass(() -> mListener.onNotExecuted(wasSent, reason));
     }
 
+    @Override
+    public boolean onSilence() {
+        return mListener.onSilence();
+    }
+
     @Override
     public void onInterrupted(String reason) {
         pass(() -> mListener.onInterrupted(reason));
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/AnswerPath.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/AnswerPath.java
@@ -100,6 +100,7 @@
                         null,
                         1_500,
                         null,
+                        null,
                         request.headers(),
                         PromptParts.NONE));
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/SocketTarget.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/SocketTarget.java
@@ -108,7 +108,7 @@
         mScript = script;
         mServer = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", mServer.getLocalPort());
-        mInstance = new TargetInstance(id, 1, "s", address, "a", 8, TargetState.READY, 0);
+        mInstance = new TargetInstance(id, 1, "s", "v1", address, "a", 8, TargetState.READY, 0);
         startThread(this::accept);
     }
 
