--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
@@ -115,10 +115,11 @@
             mUnusableRevisions.remove(entry.key());
             if (!target.equals(previous)) {
                 LOG.info(
-                        "step=target target={} service={} address={} state={} store_revision={}"
-                                + " outcome={}",
+                        "step=target target={} service={} version={} address={} state={}"
+                                + " store_revision={} outcome={}",
                         target.incarnation(),
                         target.service(),
+                        target.version(),
                         target.address(),
                         target.state(),
                         entry.modRevision(),
