Name the request and the target in each line about a target's connection

What on-call saw: lines of the library at level ERROR ("Connection closed before received headers", "Connection reset", logger ConnectionBase) with no id, from which nobody got to the request or the target and back.

Either the request's answer broke off in its head, or, when the request has its answer already, part of a second head lay behind that answer. The second case is the state in which the next request on the connection would have got a mixed answer.

ClientCodec now writes step=connection target=.. request=.. outcome=closed|ended|failed cause=.. at INFO (one line a decision; the outcome of the request itself has its step=decide and step=end lines), and the library's lines no longer appear. The id is that of the last request that got the connection; TargetClient.open takes it from each of its four callers.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -290,7 +290,7 @@
         options.putHeader("Content-Type", "application/json");
         protocol.prepare(options, target, requestId, null);
         return mTargetClient
-                .open(target, options, true)
+                .open(target, requestId, options, true)
                 .compose(
                         request -> {
                             running.mRequest = request;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -26,6 +26,8 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Codec of a client's connection that keeps the bytes of one response apart from those of another.
@@ -44,6 +46,7 @@
         }
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(ClientCodec.class);
     private static final String HANDLER_NAME = "codec";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
 
@@ -51,6 +54,8 @@
     private @Nullable HttpMethod mAwaited;
 
     private volatile boolean mUnusable;
+    private volatile String mTarget = "-";
+    private volatile String mRequestId = "-";
 
     private ClientCodec(HttpClientOptions options) {
         init(new Decoder(decoderConfig(options)), new HttpRequestEncoder());
@@ -70,10 +75,21 @@
      * @param options options of the client, which must not use HTTP/2, nor decompress responses
      */
     public static void install(HttpConnection connection, HttpClientOptions options) {
+        ClientCodec codec = new ClientCodec(options);
         ((ConnectionBase) connection)
                 .channelHandlerContext()
                 .pipeline()
-                .replace(HANDLER_NAME, HANDLER_NAME, new ClientCodec(options));
+                .replace(HANDLER_NAME, HANDLER_NAME, codec);
+        connection.exceptionHandler(e -> codec.log("failed", String.valueOf(e.getMessage())));
+    }
+
+    private void log(String outcome, String cause) {
+        LOG.info(
+                "step=connection target={} request={} outcome={} cause=\"{}\"",
+                mTarget,
+                mRequestId,
+                outcome,
+                cause);
     }
 
     /**
@@ -81,9 +97,24 @@
      * for a moment.
      */
     public static boolean isUsable(HttpConnection connection) {
+        ClientCodec codec = codecOf(connection);
+        return codec != null && !codec.mUnusable;
+    }
+
+    /** Records the request that gets a connection; lines about the connection name it. */
+    public static void recordUse(HttpConnection connection, String target, String requestId) {
+        ClientCodec codec = codecOf(connection);
+        if (codec != null) {
+            codec.mTarget = target;
+            codec.mRequestId = requestId;
+        }
+    }
+
+    /** Returns the codec of a connection; null when it is closed. */
+    private static @Nullable ClientCodec codecOf(HttpConnection connection) {
         ChannelHandlerContext context = ((ConnectionBase) connection).channelHandlerContext();
-        ClientCodec codec = context.pipeline().get(ClientCodec.class);
-        return context.channel().isActive() && codec != null && !codec.mUnusable;
+        boolean isActive = context.channel().isActive();
+        return isActive ? context.pipeline().get(ClientCodec.class) : null;
     }
 
     @Override
@@ -118,7 +149,7 @@
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
                 throws Exception {
             if (mUnusable || mAwaited == null) {
-                endConnection(ctx, in);
+                endConnection(ctx, in, "bytes that no request awaits");
                 return;
             }
             if (!mInMessage && in.getByte(in.readerIndex()) != 'H') {
@@ -142,7 +173,7 @@
 
         private void onMessage(ChannelHandlerContext ctx, ByteBuf in, Object message) {
             if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-                endConnection(ctx, in);
+                endConnection(ctx, in, String.valueOf(part.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -154,7 +185,7 @@
                     mInFinalResponse = false;
                     mAwaited = null;
                     if (in.isReadable()) {
-                        endConnection(ctx, in);
+                        endConnection(ctx, in, "bytes behind a response");
                     }
                 }
             }
@@ -186,13 +217,14 @@
                             HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
             response.setDecoderResult(DecoderResult.failure(new ForeignBytesException(reason)));
             out.add(response);
-            endConnection(ctx, in);
+            endConnection(ctx, in, reason);
         }
 
-        private void endConnection(ChannelHandlerContext ctx, ByteBuf in) {
+        private void endConnection(ChannelHandlerContext ctx, ByteBuf in, String cause) {
             in.skipBytes(in.readableBytes());
             if (!mUnusable) {
                 mUnusable = true;
+                log("closed", cause);
                 ctx.close();
             }
         }
@@ -202,8 +234,11 @@
                 throws Exception {
             if (!mUnusable && mInFinalResponse) {
                 super.decodeLast(ctx, in, out);
-            } else {
-                in.skipBytes(in.readableBytes());
+                return;
+            }
+            in.skipBytes(in.readableBytes());
+            if (!mUnusable && mInMessage) {
+                log("ended", "within the head of a response");
             }
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -157,7 +157,7 @@
         int attempt = mAttempt;
         mLastProgressNanos = System.nanoTime();
         startProgressTimer(attempt, lease);
-        onEventLoop(mOnlineContext.targetClient().open(target, options, true))
+        onEventLoop(mOnlineContext.targetClient().open(target, mRequestId, options, true))
                 .compose(request -> sendBody(request))
                 .onSuccess(response -> onResponse(attempt, lease, protocol, response))
                 .onFailure(e -> onAttemptFailed(attempt, lease, e));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -126,7 +126,10 @@
                 TargetClient.requestOptions(target, mRequest.method(), mRequest.uri());
         KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
         protocol.prepare(options, target, mRequestId, null);
-        onEventLoop(mOnlineContext.targetClient().open(target, options, mRoute.idempotent()))
+        onEventLoop(
+                        mOnlineContext
+                                .targetClient()
+                                .open(target, mRequestId, options, mRoute.idempotent()))
                 .onSuccess(request -> sendBody(lease, protocol, request))
                 .onFailure(e -> onTargetUnreachable(lease, e));
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -145,7 +145,7 @@
                                                 mPlan.budgetMs(),
                                                 mPlan.resumeAfter()));
         mContext.targetClient()
-                .open(mTarget.id(), options, !mPlan.newConnection())
+                .open(mTarget.id(), mPlan.head().id(), options, !mPlan.newConnection())
                 .onSuccess(this::onConnected)
                 .onFailure(e -> endNotExecuted(true, String.valueOf(e.getMessage())));
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -68,24 +68,27 @@
     /**
      * Connects to a target for a request; nothing is sent yet.
      *
+     * @param requestId id of the request
      * @param repeatable whether the request may be repeated, and so may use a pooled connection
      * @return the request; fails with a {@link SesamepinException} when the target cannot be
      *     reached, and then the request was not run
      */
     public Future<HttpClientRequest> open(
-            Target target, RequestOptions options, boolean repeatable) {
-        return open(target.name(), options, repeatable);
+            Target target, String requestId, RequestOptions options, boolean repeatable) {
+        return open(target.name(), requestId, options, repeatable);
     }
 
     /**
      * Connects to the address in {@code options} for a request; nothing is sent yet.
      *
      * @param name name of the target in errors
+     * @param requestId id of the request
      * @param repeatable whether the request may be repeated, and so may use a pooled connection
      * @return the request; fails with a {@link SesamepinException} when the target cannot be
      *     reached, and then the request was not run
      */
-    public Future<HttpClientRequest> open(String name, RequestOptions options, boolean repeatable) {
+    public Future<HttpClientRequest> open(
+            String name, String requestId, RequestOptions options, boolean repeatable) {
         HttpClientAgent client = repeatable ? mPooled : mUnpooled;
         return client.request(options)
                 .recover(
@@ -95,16 +98,23 @@
                                                 Step.CONNECT,
                                                 name,
                                                 "cannot connect: " + e.getMessage())))
-                .compose(request -> replaceIfUnusable(request, name, options, repeatable));
+                .compose(
+                        request ->
+                                replaceIfUnusable(request, name, requestId, options, repeatable));
     }
 
     private Future<HttpClientRequest> replaceIfUnusable(
-            HttpClientRequest request, String name, RequestOptions options, boolean repeatable) {
+            HttpClientRequest request,
+            String name,
+            String requestId,
+            RequestOptions options,
+            boolean repeatable) {
         if (!repeatable || ClientCodec.isUsable(request.connection())) {
+            ClientCodec.recordUse(request.connection(), name, requestId);
             return Future.succeededFuture(request);
         }
         request.reset();
-        return open(name, options, false);
+        return open(name, requestId, options, false);
     }
 
     /**
