End a call whose step fails unexpectedly with one answer, at once

What callers would see: no answer until their deadline, or, before an exchange exists and in the requests about jobs, none at all on a connection that stays open; and a stop that waits for a call that never ends.

Cause: what a handler throws goes to the library, which logs it without a request's id and does nothing more. Only Problem, a checked exception, was caught.

The line step=call or step=attempt outcome=unexpected-failure names the request and has the stack. The call no longer counts as running, also when an exchange can't be created.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -61,10 +61,20 @@
                         request,
                         config.connectionLimits().maxBodyBytes(),
                         config.connectionLimits().idleTimeoutMs())
-                .onSuccess(body -> onBody(request, head, body, arrivedAt))
+                .onSuccess(body -> run(request, head, () -> onBody(request, head, body, arrivedAt)))
                 .onFailure(e -> sendProblem(request, head, Problem.of(e)));
     }
 
+    /** Runs a step of a call; a failure that the step does not expect is sent as a problem. */
+    private void run(HttpServerRequest request, CallHead head, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.error("step=call request={} outcome=unexpected-failure", head.id(), e);
+            sendProblem(request, head, Problem.of(e));
+        }
+    }
+
     private void onBody(HttpServerRequest request, CallHead headOnly, Buffer body, long arrivedAt) {
         try {
             ServingRoute route = findRoute(headOnly);
@@ -85,7 +95,13 @@
                     .onSuccess(
                             admission -> {
                                 if (admission.admitted()) {
-                                    startExchange(request, head, body, route, customer, arrivedAt);
+                                    run(
+                                            request,
+                                            head,
+                                            () ->
+                                                    startExchange(
+                                                            request, head, body, route, customer,
+                                                            arrivedAt));
                                 } else {
                                     rejectOverRate(request, head, customer, admission);
                                 }
@@ -200,8 +216,8 @@
             LOG.info("step=end request={} outcome=caller-left-before-start", head.id());
             return;
         }
-        mRunningCalls++;
-        new Exchange(
+        Exchange exchange =
+                new Exchange(
                         mContext,
                         request,
                         head,
@@ -209,8 +225,9 @@
                         route,
                         customer,
                         arrivedAt,
-                        () -> mRunningCalls--)
-                .start();
+                        () -> mRunningCalls--);
+        mRunningCalls++;
+        exchange.start();
     }
 
     private void rejectOverRate(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -98,10 +98,15 @@
 
     /** Starts the call: sets the deadline and sends the request to a first target. */
     void start() {
+        run(this::begin);
+    }
+
+    private void begin() {
         mResponse.closeHandler(v -> onCallerDisconnected());
         mResponse.exceptionHandler(e -> onCallerDisconnected());
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(mPolicy.remainingNanos(now()));
-        mDeadlineTimer = mContext.vertx().setTimer(Math.max(1, remainingMs), t -> onDeadline());
+        mDeadlineTimer =
+                mContext.vertx().setTimer(Math.max(1, remainingMs), t -> run(this::onDeadline));
         String resumeAfter = mHead.resumeAfter();
         if (resumeAfter != null && mRoute.kind() == RouteKind.RESUMABLE_STREAM) {
             mLastEventId = Math.max(0, EventIds.parse(resumeAfter));
@@ -109,6 +114,33 @@
         placeAndSend();
     }
 
+    /** Runs a step of the call; a failure that the step does not expect ends the call. */
+    private void run(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.error("step=call request={} outcome=unexpected-failure", mHead.id(), e);
+            endAfterFailure(e);
+        }
+    }
+
+    private void endAfterFailure(RuntimeException e) {
+        if (mEnded) {
+            return;
+        }
+        cancelAttempt();
+        if (mResponse.ended()) {
+            finish("served", "unexpected failure");
+            return;
+        }
+        if (mResponse.headWritten()) {
+            abortResponse("unexpected failure");
+            return;
+        }
+        mResponse.headers().clear();
+        sendProblem(Problem.of(e));
+    }
+
     private void placeAndSend() {
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(mPolicy.remainingNanos(now()));
         if (remainingMs < MIN_BUDGET_MS) {
@@ -131,7 +163,7 @@
                         Set.copyOf(mTriedTargets));
         mContext.placementClient()
                 .place(request)
-                .onComplete(placement -> onPlacement(placement.result()));
+                .onComplete(placement -> run(() -> onPlacement(placement.result())));
     }
 
     /**
@@ -259,6 +291,10 @@
 
     @Override
     public void onStreamEnded() {
+        run(this::endStream);
+    }
+
+    private void endStream() {
         writeHeadOnce();
         mResponse.end();
         mContext.placementClient().localCoordinator().recordServiceTime(mService, now() - mSentAt);
@@ -267,6 +303,10 @@
 
     @Override
     public void onResponse(ResponseHead head, Buffer body) {
+        run(() -> forward(head, body));
+    }
+
+    private void forward(ResponseHead head, Buffer body) {
         if (mPolicy.hasForwarded()) {
             onInterrupted(
                     "the target that was to continue the stream replied with status "
@@ -282,7 +322,7 @@
     @Override
     public void onNotExecuted(boolean wasSent, String reason) {
         mContext.metrics().countFailedAttempt(mService, "refused");
-        apply(mPolicy.onNotExecuted(wasSent, now()), reason);
+        run(() -> apply(mPolicy.onNotExecuted(wasSent, now()), reason));
     }
 
     @Override
@@ -293,7 +333,7 @@
     @Override
     public void onInterrupted(String reason) {
         mContext.metrics().countFailedAttempt(mService, "broken");
-        apply(mPolicy.onAttemptFailed(now()), reason);
+        run(() -> apply(mPolicy.onAttemptFailed(now()), reason));
     }
 
     private void onDeadline() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.serving;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -156,10 +157,26 @@
                                                 mPlan.resumeAfter()));
         mContext.targetClient()
                 .open(mTarget.id(), options, !mPlan.newConnection())
-                .onSuccess(this::onConnected)
+                .onSuccess(guarded(this::onConnected))
                 .onFailure(e -> endNotExecuted(true, String.valueOf(e.getMessage())));
     }
 
+    /** Returns {@code step} such that a failure that it does not expect ends the attempt. */
+    private <T extends @Nullable Object> Handler<T> guarded(Handler<T> step) {
+        return value -> {
+            try {
+                step.handle(value);
+            } catch (RuntimeException e) {
+                LOG.error(
+                        "step=attempt request={} target={} outcome=unexpected-failure",
+                        mPlan.head().id(),
+                        mTarget.incarnation(),
+                        e);
+                endInterrupted("unexpected failure: " + e);
+            }
+        };
+    }
+
     private void onConnected(HttpClientRequest request) {
         if (mEnded) {
             request.reset();
@@ -185,7 +202,7 @@
         mIdleTimeout.start();
         request.exceptionHandler(e -> endDisconnected("connection failed: " + e.getMessage()));
         request.response()
-                .onSuccess(this::onResponseHead)
+                .onSuccess(guarded(this::onResponseHead))
                 .onFailure(e -> endDisconnected("no response: " + e));
         request.end(mPlan.body());
     }
@@ -244,7 +261,7 @@
             readStream(response, head);
         } else {
             ResponseBody.read(response)
-                    .onSuccess(body -> onBody(head, body))
+                    .onSuccess(guarded(body -> onBody(head, body)))
                     .onFailure(e -> endDisconnected("cut: " + e));
         }
     }
@@ -273,8 +290,8 @@
     }
 
     private void readStream(HttpClientResponse response, ResponseHead head) {
-        response.handler(this::onStreamBytes);
-        response.endHandler(v -> onStreamEnd());
+        response.handler(guarded(this::onStreamBytes));
+        response.endHandler(guarded(v -> onStreamEnd()));
         mListener.onStreamStarted(head);
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnexpectedFailureTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnexpectedFailureTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -117,7 +116,6 @@
         }
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource(
             value = RouteKind.class,
@@ -125,15 +123,22 @@
     void failureWhileAnAnswerIsReadIsAnswered(RouteKind kind) throws Exception {
         int port = startServer(kind, (socket, head, number) -> socket.write(UNREADABLE));
         assertEquals("502", call(port));
-        assertEquals(0, mHandler.runningCalls());
+        awaitNoRunningCall();
     }
 
-    @Tag("known-red")
     @Test
     void failureBeforeACallIsSentIsAnswered() throws Exception {
         int port = startServer(RouteKind.BATCH, UnexpectedFailureTest::ignore);
         assertEquals("500", call(port));
     }
 
+    /** The call ends right after its response was written, which may be after it was read here. */
+    private void awaitNoRunningCall() throws Exception {
+        for (int i = 0; i < 100 && mHandler.runningCalls() > 0; i++) {
+            Thread.sleep(10);
+        }
+        assertEquals(0, mHandler.runningCalls());
+    }
+
     private static void ignore(NetSocket socket, String head, int number) {}
 }
