Show a begun stream that is cut while its slow target would go on

A host gives a silent target up (three times the longer of the latency and the gap objective) before it knows whether another one takes the stream. When all others refuse, or no slot is free, the stream is broken off, though its own target was sound and slow only, as a target is that preempts a request or reads it again. A target's silence is no reason to end an answer sooner.

ResumedStreamTest#silentTargetIsKeptWhileAllOthersRefuse: two events, 1.2 s of silence, the rest; all further requests are refused as not run:

Tests run: 18, Failures: 1 (expected e1 e2 e3 but was e1 e2; ended after 1.17 s)

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -279,6 +280,30 @@
         assertTrue(isComplete(response), response);
     }
 
+    /** Guards against giving up a slow target before another one has taken the stream. */
+    @Tag("known-red")
+    @Test
+    void silentTargetIsKeptWhileAllOthersRefuse() throws Exception {
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number > 1) {
+                                socket.write(otherAnswer("refusal"));
+                                return;
+                            }
+                            socket.write(
+                                    RawTarget.streamHead("r1")
+                                            + RawTarget.event(1)
+                                            + RawTarget.event(2));
+                            String rest = RawTarget.event(3) + RawTarget.lastChunk();
+                            mVertx.setTimer(SILENCE_MS, t -> socket.write(rest));
+                        });
+        String response = call(port);
+        assertEquals("e1 e2 e3", eventsOf(response), response);
+        assertTrue(isComplete(response), response);
+    }
+
     /** Guards against cutting a stream that began at the last target and pauses. */
     @Test
     void pauseOfTheLastTargetDoesNotCutAStream() throws Exception {
