Show that a stray line end behind a body ends the connection

A caller that sends a line end behind a body, as some old clients do, gets an unasked 408 when the time for a head is over, and the connection is closed; its next request there reads that 408 as its answer. The protocol's 408 says rightly that the request was not run, but it was whole and in time.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/RequestHeadDecoderTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/RequestHeadDecoderTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -126,6 +127,27 @@
         assertEquals(List.of("/good", "/good"), mHandledPaths);
     }
 
+    /** Guards against a rejection that meets the next request on a kept connection. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "\n", "\r\n\r\n"})
+    void keepsConnectionOpenAfterAStrayLineEndBehindABody(String lineEnd) throws Exception {
+        int port = serve(50);
+        String request = "POST /good HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb" + lineEnd;
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+            for (int i = 0; i < 2; i++) {
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                byte[] response = new byte[512];
+                int length = socket.getInputStream().read(response);
+                String text = new String(response, 0, length, StandardCharsets.UTF_8);
+                assertEquals(List.of("200"), statuses(text));
+                Thread.sleep(150);
+            }
+        }
+        assertEquals(List.of("/good", "/good"), mHandledPaths);
+    }
+
     @Test
     void servesRequestThatArrivesInParts() throws Exception {
         String responses =
