--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.serving;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -93,6 +94,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(TargetAttempt.class);
     private static final int MISDIRECTED = 421;
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 999;
 
     /**
      * Statuses that a caller reads as "the request did not run". Without the target's own statement
@@ -155,10 +158,26 @@
                                                 mPlan.resumeAfter()));
         mContext.targetClient()
                 .open(mTarget.id(), mPlan.head().id(), options, !mPlan.newConnection())
-                .onSuccess(this::onConnected)
+                .onSuccess(guarded(this::onConnected))
                 .onFailure(e -> endNotExecuted(true, String.valueOf(e.getMessage())));
     }
 
+    /** Returns {@code step} such that a failure that it does not expect ends the attempt. */
+    private <T extends @Nullable Object> Handler<T> guarded(Handler<T> step) {
+        return value -> {
+            try {
+                step.handle(value);
+            } catch (RuntimeException e) {
+                LOG.error(
+                        "step=attempt request={} target={} outcome=unexpected-failure",
+                        mPlan.head().id(),
+                        mTarget.incarnation(),
+                        e);
+                endInterrupted("unexpected failure: " + e);
+            }
+        };
+    }
+
     private void onConnected(HttpClientRequest request) {
         if (mEnded) {
             request.reset();
@@ -183,7 +202,7 @@
         }
         mIdleTimeout.start();
         request.exceptionHandler(e -> endDisconnected("connection failed: " + e.getMessage()));
-        request.response().onSuccess(this::onResponseHead).onFailure(this::onNoResponse);
+        request.response().onSuccess(guarded(this::onResponseHead)).onFailure(this::onNoResponse);
         request.end(mPlan.body());
     }
 
@@ -214,6 +233,10 @@
         mIdleTimeout.recordProgress();
         response.exceptionHandler(
                 e -> endDisconnected("response was interrupted: " + e.getMessage()));
+        if (!isFinalStatus(response.statusCode())) {
+            endInterrupted("status " + response.statusCode() + " is not that of an answer");
+            return;
+        }
         ResponseHead head = mContext.protocol().readResponseHead(response);
         if (!isResponseToRequest(head)) {
             endInterrupted(
@@ -245,11 +268,16 @@
             readStream(response, head);
         } else {
             ResponseBody.read(response)
-                    .onSuccess(body -> onBody(head, body))
+                    .onSuccess(guarded(body -> onBody(head, body)))
                     .onFailure(e -> endDisconnected("cut: " + e));
         }
     }
 
+    /** Returns whether a caller can read {@code status} as that of the answer to its request. */
+    private static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     private void recordLeaving(ResponseHead head) {
         if (head.leaving() && mContext.state().recordLeaving(mTarget)) {
             LOG.info(
@@ -269,8 +297,8 @@
     }
 
     private void readStream(HttpClientResponse response, ResponseHead head) {
-        response.handler(this::onStreamBytes);
-        response.endHandler(v -> onStreamEnd());
+        response.handler(guarded(this::onStreamBytes));
+        response.endHandler(guarded(v -> onStreamEnd()));
         mListener.onStreamStarted(head);
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/RequestHeadDecoderTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/RequestHeadDecoderTest.java
@@ -104,6 +104,12 @@
         assertEquals(List.of(), mHandledPaths);
     }
 
+    @Test
+    void rejectsLineEndsWithoutAHeadAfterTheTimeout() throws Exception {
+        assertEquals(List.of("408"), statuses(exchange(serve(50), "\r\n\r\n\r\n")));
+        assertEquals(List.of(), mHandledPaths);
+    }
+
     @Test
     void rejectsPipelinedIncompleteHeadAfterTheResponseToTheFirstRequest() throws Exception {
         String responses = exchange(serve(50), VALID_REQUEST + "GET /slow HTTP/1.1\r\n");
@@ -126,6 +132,26 @@
         assertEquals(List.of("/good", "/good"), mHandledPaths);
     }
 
+    /** Guards against a rejection that meets the next request on a kept connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "\n", "\r\n\r\n"})
+    void keepsConnectionOpenAfterAStrayLineEndBehindABody(String lineEnd) throws Exception {
+        int port = serve(50);
+        String request = "POST /good HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb" + lineEnd;
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+            for (int i = 0; i < 2; i++) {
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                byte[] response = new byte[512];
+                int length = socket.getInputStream().read(response);
+                String text = new String(response, 0, length, StandardCharsets.UTF_8);
+                assertEquals(List.of("200"), statuses(text));
+                Thread.sleep(150);
+            }
+        }
+        assertEquals(List.of("/good", "/good"), mHandledPaths);
+    }
+
     @Test
     void servesRequestThatArrivesInParts() throws Exception {
         String responses =
