Test a stream whose last target is silent for a while, known to fail

Callers saw a stream end without its end though no target had broken it off: a target that is silent for three gaps is given up even if no further target may be asked, and the caller's connection is closed.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +39,9 @@
     private static final String HEAD_END = "\r\n\r\n";
     private static final int TARGETS = 3;
 
+    /** Longer than the time after which a silent target is given up, shorter than the timeout. */
+    private static final long SILENCE_MS = 1_500;
+
     private final Vertx mVertx = Vertx.vertx();
     private final ServingFixture mFixture = new ServingFixture(mVertx);
     private final AtomicInteger mRequests = new AtomicInteger();
@@ -239,6 +243,27 @@
         return RawTarget.streamHead("r1") + RawTarget.event(3) + RawTarget.lastChunk();
     }
 
+    /** Guards against a stream that is broken off while the last target it may use is silent. */
+    @Tag("known-red")
+    @Test
+    void silenceOfTheLastTargetDoesNotEndTheStream() throws Exception {
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number == 1) {
+                                beginAndBreakOff(socket);
+                            } else {
+                                socket.write(RawTarget.streamHead("r1") + RawTarget.event(3));
+                                String rest = RawTarget.event(4) + RawTarget.lastChunk();
+                                mVertx.setTimer(SILENCE_MS, t -> socket.write(rest));
+                            }
+                        });
+        String response = call(port);
+        assertEquals("e1 e2 e3 e4", eventsOf(response), response);
+        assertTrue(isComplete(response), response);
+    }
+
     /** An error of the second target must not end a stream that a third one can continue. */
     @Test
     void streamGoesOnAtAThirdTargetAfterAnErrorOfTheSecond() throws Exception {
