--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -39,8 +39,8 @@
     private static final String HEAD_END = "\r\n\r\n";
     private static final int TARGETS = 3;
 
-    /** Longer than a target may be silent while another one could continue the stream. */
-    private static final long SILENCE_MS = 1_200;
+    /** Longer than the time after which a silent target is given up, shorter than the timeout. */
+    private static final long SILENCE_MS = 1_500;
 
     private final Vertx mVertx = Vertx.vertx();
     private final ServingFixture mFixture = new ServingFixture(mVertx);
@@ -244,6 +244,26 @@
         return RawTarget.streamHead("r1") + RawTarget.event(3) + RawTarget.lastChunk();
     }
 
+    /** Guards against a stream that is broken off while the last target it may use is silent. */
+    @Test
+    void silenceOfTheLastTargetDoesNotEndTheStream() throws Exception {
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number == 1) {
+                                beginAndBreakOff(socket);
+                            } else {
+                                socket.write(RawTarget.streamHead("r1") + RawTarget.event(3));
+                                String rest = RawTarget.event(4) + RawTarget.lastChunk();
+                                mVertx.setTimer(SILENCE_MS, t -> socket.write(rest));
+                            }
+                        });
+        String response = call(port);
+        assertEquals("e1 e2 e3 e4", eventsOf(response), response);
+        assertTrue(isComplete(response), response);
+    }
+
     /** An error of the second target must not end a stream that a third one can continue. */
     @Test
     void streamGoesOnAtAThirdTargetAfterAnErrorOfTheSecond() throws Exception {
