Show a stream that is cut because its caller reads slowly

A host that holds more than it can write to a caller stops reading from the target. The time without a byte from the target goes on meanwhile, so a target that has sent everything counts as silent: its run is given up, and the caller's connection ends within the answer.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetSocket;
 import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -39,6 +40,10 @@
     private static final String HEAD_END = "\r\n\r\n";
     private static final int TARGETS = 3;
 
+    private static final int LARGE_EVENTS = 24;
+    private static final int LARGE_EVENT_BYTES = 500_000;
+    private static final int SMALL_BUFFER_BYTES = 64 << 10;
+
     /** Longer than a target may be silent while another one could continue the stream. */
     private static final long SILENCE_MS = 1_200;
 
@@ -327,6 +332,40 @@
         assertTrue(isComplete(response), response);
     }
 
+    /** Guards against taking the pause of a caller that reads slowly for its target's silence. */
+    @Tag("known-red")
+    @Test
+    void slowReaderGetsTheStreamOfItsTargetWhole() throws Exception {
+        StringBuilder events = new StringBuilder();
+        for (int i = 1; i <= LARGE_EVENTS; i++) {
+            String event = "id: " + i + "\ndata: " + "x".repeat(LARGE_EVENT_BYTES) + "\n\n";
+            events.append(Integer.toHexString(event.length())).append("\r\n");
+            events.append(event).append("\r\n");
+        }
+        int port =
+                startServer(
+                        2,
+                        (socket, number) ->
+                                socket.write(
+                                        number == 1
+                                                ? RawTarget.streamHead("r1")
+                                                        + events
+                                                        + RawTarget.lastChunk()
+                                                : otherAnswer("refusal")));
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            socket.connect(new InetSocketAddress("127.0.0.1", port));
+            socket.setSoTimeout(10_000);
+            String request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close" + HEAD_END;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(SILENCE_MS);
+            byte[] received = socket.getInputStream().readAllBytes();
+            String end = new String(received, StandardCharsets.US_ASCII);
+            assertTrue(isComplete(end), "ended after " + received.length + " bytes");
+        }
+        assertEquals(1, mRequests.get());
+    }
+
     /** A response must not combine the head of one run with the events of another. */
     @Test
     void headIsThatOfTheRunWhoseEventsAreForwarded() throws Exception {
