Don't count the time in which a slow caller holds up its stream as the target's silence

What callers saw: a caller that paused for longer than the idle time of a target (0.9 s at objectives of 300 ms) in a large stream got it without its end, though its target had sent it whole; and a failure of that target was recorded.

Cause: when more waits to be written to the caller than the connection holds, the attempt stops reading, but the time without a received byte went on.

The timeout is suspended while the attempt doesn't read, and its time starts anew when it reads again. The deadline bounds the whole as before.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/IdleTimeout.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/IdleTimeout.java
@@ -20,6 +20,7 @@
     private long mLastProgressAt;
     private long mTimer = NO_TIMER;
     private boolean mCancelled;
+    private boolean mSuspended;
 
     /**
      * Creates a timeout that is not started.
@@ -46,6 +47,9 @@
         if (mCancelled) {
             return;
         }
+        if (mSuspended) {
+            recordProgress();
+        }
         long remainingNanos = mTimeoutNanos - (mTicker.nanoTime() - mLastProgressAt);
         if (remainingNanos <= 0) {
             mCancelled = true;
@@ -61,6 +65,12 @@
         mLastProgressAt = mTicker.nanoTime();
     }
 
+    /** Suspends the timeout while nothing is read, or resumes it; the time then starts anew. */
+    public void setSuspended(boolean suspended) {
+        mSuspended = suspended;
+        recordProgress();
+    }
+
     /** Returns the time of the last progress, a reading of the monotonic clock in nanoseconds. */
     public long lastProgressAt() {
         return mLastProgressAt;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -414,6 +414,7 @@
         if (response == null || mEnded) {
             return;
         }
+        mIdleTimeout.setSuspended(paused);
         if (paused) {
             mEventIntervals.recordPause();
             response.pause();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -333,7 +333,6 @@
     }
 
     /** Guards against taking the pause of a caller that reads slowly for its target's silence. */
-    @Tag("known-red")
     @Test
     void slowReaderGetsTheStreamOfItsTargetWhole() throws Exception {
         StringBuilder events = new StringBuilder();
