--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -278,6 +278,18 @@
         mPorts.clear();
     }
 
+    /** Ends one node; those after it move up. */
+    void closeNode(int node) throws Exception {
+        ServingNode closed = mNodes.remove(node);
+        mHandlers.remove(node);
+        mPorts.remove(node);
+        onLoop(
+                () -> {
+                    closed.close();
+                    return Future.succeededFuture();
+                });
+    }
+
     /** Starts the planned stop of a node; the result completes when its calls have ended. */
     Future<Void> beginStop(int node) throws Exception {
         return onLoop(() -> Future.succeededFuture(mNodes.get(node).stop(mHandlers.get(node))));
