Give up an unsent request without a library's line at error level

What on-call sees: "Stream reset: 0" of the library at level ERROR, without an id.

Cause: a request without an exception handler that is reset logs that as an error. Nothing went wrong: nothing was sent.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.List;
@@ -101,6 +102,12 @@
         return codec != null && !codec.mUnusable;
     }
 
+    /** Gives up a request of which nothing was sent. */
+    public static void discard(HttpClientRequest request) {
+        request.exceptionHandler(e -> LOG.debug("step=connection outcome=unused"));
+        request.reset();
+    }
+
     /** Records the request that gets a connection; lines about the connection name it. */
     public static void recordUse(HttpConnection connection, String target, String requestId) {
         ClientCodec codec = codecOf(connection);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -152,16 +152,16 @@
 
     private void onConnected(HttpClientRequest request) {
         if (mEnded) {
-            request.reset();
+            ClientCodec.discard(request);
             return;
         }
         if (!mContext.state().targets().isReady(mTarget)) {
-            request.reset();
+            ClientCodec.discard(request);
             endNotExecuted(false, "the target was no longer ready when the request was to be sent");
             return;
         }
         if (isPromptQuarantined()) {
-            request.reset();
+            ClientCodec.discard(request);
             endNotExecuted(false, "targets ended under a part of the prompt");
             return;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -113,7 +113,7 @@
             ClientCodec.recordUse(request.connection(), name, requestId);
             return Future.succeededFuture(request);
         }
-        request.reset();
+        ClientCodec.discard(request);
         return open(name, requestId, options, false);
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConnectionLogTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ConnectionLogTest.java
@@ -7,12 +7,19 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.AppenderBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.RequestOptions;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sesamepin.node.http.ClientCodec;
+import org.sesamepin.node.target.TargetClient;
 import org.slf4j.LoggerFactory;
 
 /** Checks that each line about a target's connection names the request and the target. */
@@ -81,6 +88,31 @@
                             + outcome;
             awaitLine(expected);
         }
+        assertNoErrors();
+    }
+
+    /** Guards against a line at error level for a request that is given up before it is sent. */
+    @Test
+    void requestThatIsNotSentWritesNoError() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try (SocketTarget target = mPath.startTarget((link, id, number) -> {});
+                TargetClient client = new TargetClient(vertx)) {
+            InetSocketAddress address = target.instance().address();
+            RequestOptions options =
+                    new RequestOptions().setHost("127.0.0.1").setPort(address.getPort());
+            client.open("t", "r1", options, true)
+                    .onSuccess(ClientCodec::discard)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(10, TimeUnit.SECONDS);
+            AnswerPath.pause(50);
+        } finally {
+            vertx.close();
+        }
+        assertNoErrors();
+    }
+
+    private void assertNoErrors() {
         assertEquals(
                 List.of(),
                 mEvents.stream().filter(event -> event.getLevel() == Level.ERROR).toList());
