--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/AnswerPath.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/AnswerPath.java
@@ -19,6 +19,7 @@
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingConfig;
 import org.sesamepin.core.serving.ServingRoute;
+import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.spi.StoreListing;
 
 /**
@@ -84,10 +85,15 @@
     /** Starts a target, which is the only one from now on. */
     SocketTarget startTarget(SocketTarget.Script script) throws IOException {
         SocketTarget target = new SocketTarget("t" + mTargets.incrementAndGet(), script);
-        mFixture.state().setTargets(List.of(target.instance()));
+        useTarget(target.instance());
         return target;
     }
 
+    /** Makes a target the only one from now on. */
+    void useTarget(TargetInstance target) {
+        mFixture.state().setTargets(List.of(target));
+    }
+
     private static void handle(CallHandler handler, HttpServerRequest request) {
         handler.handle(
                 request,
