Take an HTTP/1.0 answer with a length and chunks as a broken response

Callers got a success for an HTTP/1.0 answer that states a length beside chunks: the decoder refuses this under HTTP/1.1 only, and else drops the length. The answer now fails its request and ends its connection, as it does under HTTP/1.1: the codec checks each decoded head.

Remains: two different lengths under HTTP/1.0. The decoder keeps the first and removes the others before the codec sees the head, so the same check did not mend it (run: two forms still 200).

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -161,10 +163,11 @@
             super.decode(ctx, in, out);
             List<Object> messages = out.subList(firstNew, out.size());
             for (Object message : messages) {
-                if (message instanceof HttpResponse head && !isOneHead(head)) {
+                String fault = message instanceof HttpResponse head ? faultOf(head) : null;
+                if (fault != null) {
                     messages.forEach(ReferenceCountUtil::release);
                     messages.clear();
-                    failRequest(ctx, in, out, "a status line within a head");
+                    failRequest(ctx, in, out, fault);
                     return;
                 }
                 onMessage(ctx, in, message);
@@ -191,11 +194,25 @@
             }
         }
 
-        /** Returns whether a decoded head has no part of another head in it. */
-        private boolean isOneHead(HttpResponse head) {
+        /** Returns why a decoded head is not that of one response; null when it is. */
+        private @Nullable String faultOf(HttpResponse head) {
             if (head.decoderResult().isFailure()) {
-                return true;
+                return null;
+            }
+            if (!isOneHead(head)) {
+                return "a status line within a head";
             }
+            return hasLengthAndChunks(head) ? "both a length and chunks" : null;
+        }
+
+        /** The decoder itself refuses this in HTTP/1.1 only. */
+        private static boolean hasLengthAndChunks(HttpResponse head) {
+            return HttpUtil.isTransferEncodingChunked(head)
+                    && head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        }
+
+        /** Returns whether a decoded head has no part of another head in it. */
+        private boolean isOneHead(HttpResponse head) {
             HttpVersion version = head.protocolVersion();
             boolean isKnownVersion =
                     version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnaskedAnswerTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnaskedAnswerTest.java
@@ -44,11 +44,24 @@
             strings = {
                 "HTTP/1.1|Content-Length: 6|",
                 "HTTP/1.0|Content-Length: 6|",
-                "HTTP/1.0|Content-Length: 6|Connection: keep-alive|",
+                "HTTP/1.0|Content-Length: 6|Connection: keep-alive|"
+            })
+    void answerWithTwoLengthsNeverLooksWhole(String form) throws Exception {
+        assertNeverLooksWhole(form);
+    }
+
+    /** Guards against an answer with a length and chunks, of which one makes it look whole. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
                 "HTTP/1.1|Transfer-Encoding: chunked|",
                 "HTTP/1.0|Transfer-Encoding: chunked|"
             })
-    void answerWithTwoLengthsNeverLooksWhole(String form) throws Exception {
+    void answerWithALengthAndChunksNeverLooksWhole(String form) throws Exception {
+        assertNeverLooksWhole(form);
+    }
+
+    private void assertNeverLooksWhole(String form) throws Exception {
         String version = form.substring(0, form.indexOf('|'));
         String header = form.substring(version.length() + 1).replace("|", "\r\n");
         String body = header.contains("chunked") ? "2\r\nab\r\n0\r\n\r\n" : "abcde";
