--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
@@ -27,6 +27,9 @@
 
         @Override
         public void onEvent(Buffer event, long id) {
+            if (id == mFailingEvent) {
+                throw new IllegalStateException("event " + id);
+            }
             mPassed.add("event " + id);
         }
 
@@ -47,6 +50,8 @@
         }
     }
 
+    private long mFailingEvent;
+
     private StreamEventGate gate(boolean replaced) {
         return new StreamEventGate(
                 new Recorder(),
@@ -87,4 +92,16 @@
         assertEquals(List.of("interrupted"), mPassed);
         assertEquals(0, mRecords);
     }
+
+    /** Guards against a call that hangs when an event that was held back cannot be passed. */
+    @Test
+    void failureToPassAHeldBackEventEndsTheAttempt() {
+        mFailingEvent = 2;
+        StreamEventGate gate = gate(false);
+        gate.onEvent(EVENT, 1);
+        gate.onEvent(EVENT, 2);
+        gate.onEvent(EVENT, 3);
+        mRecorded.tryComplete();
+        assertEquals(List.of("event 1", "interrupted"), mPassed);
+    }
 }
