Take the ports of test nodes from below those of outgoing connections

StreamVersionsTest failed twice in one run beside load with BindException: Address already in use. A port that the system had named free could be taken by an outgoing connection before the node listened there. Ports are now drawn below that range and checked. LeavingTargetTest[2] failed once (33 arrivals, 29 expected): the log of that run shows that one of the three nodes first got an answer with the mark from its later items, and those four were the arrivals; a host that has passed no such answer on owes nothing, as the class says. The test now waits until each node has got one, at most 10 s, and then allows no arrival at all from any of them, as before.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LeavingTargetTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LeavingTargetTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,8 @@
     /** Time after which a host that passed on such an answer may send nothing more there. */
     private static final long DRAIN_MS = 2_000;
 
+    private static final long KNOWN_SECONDS = 10;
+
     private static TargetInstance target(String id, long startedAtMs) {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
         return new TargetInstance(
@@ -78,6 +81,18 @@
         return failed;
     }
 
+    /** Waits until each node has got an answer that says that its target leaves. */
+    private static void awaitKnownToLeave(LoopbackFleet fleet) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(KNOWN_SECONDS);
+        for (int node = 0; node < NODES; node++) {
+            ServingState state = fleet.node(node).context().state();
+            while (onLoop(fleet, () -> state.leavingTargets().isEmpty())) {
+                assertTrue(System.nanoTime() < end, "a node sends nothing to the target");
+                Thread.sleep(20);
+            }
+        }
+    }
+
     /** Guards against work for a target that leaves: from requests, streams, items and grants. */
     @ParameterizedTest
     @ValueSource(ints = {StandInTargets.SLOTS, 0})
@@ -97,6 +112,7 @@
                         fleet.targets().leave(leaving);
                         return null;
                     });
+            awaitKnownToLeave(fleet);
             Thread.sleep(DRAIN_MS);
             int before = onLoop(fleet, () -> fleet.targets().arrivals(leaving));
             int failedBefore = failed.get();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -9,8 +9,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -248,22 +246,16 @@
                 name,
                 "a",
                 1,
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
+                FreePorts.address(),
+                FreePorts.address(),
+                FreePorts.address(),
                 List.of(),
-                freeAddress(),
+                FreePorts.address(),
                 8_000,
                 60_000,
                 1 << 20);
     }
 
-    private static InetSocketAddress freeAddress() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     /** Ends all nodes; those that start later take their places. */
     void closeNodes() throws Exception {
         for (ServingNode node : mNodes) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +43,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        InetSocketAddress address = freeAddress();
+        InetSocketAddress address = FreePorts.address();
         mCoordinator = new PeerServer(mVertx, address);
         mCoordinator.registerHandler(
                 PeerRequest._Fields.PLACE_ASK,
@@ -75,12 +74,6 @@
         mVertx.close();
     }
 
-    private static InetSocketAddress freeAddress() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     private <T> T await(Supplier<Future<T>> task) throws Exception {
         Promise<T> done = Promise.promise();
         mEventLoop.runOnContext(v -> task.get().onComplete(done));
