--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LeavingTargetTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LeavingTargetTest.java
@@ -81,7 +81,10 @@
         return failed;
     }
 
-    /** Waits until each node has got an answer that says that its target leaves. */
+    /**
+     * Waits until each node has got an answer that says that its target leaves. Without a
+     * coordinator each node chooses targets by what it knows itself.
+     */
     private static void awaitKnownToLeave(LoopbackFleet fleet) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(KNOWN_SECONDS);
         for (int node = 0; node < NODES; node++) {
@@ -112,7 +115,9 @@
                         fleet.targets().leave(leaving);
                         return null;
                     });
-            awaitKnownToLeave(fleet);
+            if (slots == 0) {
+                awaitKnownToLeave(fleet);
+            }
             Thread.sleep(DRAIN_MS);
             int before = onLoop(fleet, () -> fleet.targets().arrivals(leaving));
             int failedBefore = failed.get();
