Let any host probe a quarantine with the items that it holds back

Cause: a prompt part that sound items share is put in quarantine when targets end under it for another reason; floods preempt items, so hardly one is answered whole meanwhile, which would have protected the part. The quarantine then held all items with it for ten minutes, and after that only the host that rendezvous hashing selects might send a probe, whether it had such an item or not.

Fix, as a rule for every item: a quarantine holds items back for at most 64 s, then one of them is sent, by whichever host has it. A whole answer lifts the quarantine and withdraws the ends of before as evidence. Requests of callers wait ten minutes as before, unless an item shows the part to be sound.

Also mended on the way, since a lift has to reach all hosts: a removal whose condition failed, for a claim that the mirror did not show yet, was given up.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
@@ -116,6 +116,15 @@
         return Long.toHexString(checksum.getValue()) + '-';
     }
 
+    /** Returns the id of the item of a job to which the prompt belongs; empty for a request. */
+    public String itemId() {
+        return shared.stream()
+                .filter(PromptParts::isItem)
+                .findFirst()
+                .map(part -> part.substring(ITEM_PREFIX.length()))
+                .orElse("");
+    }
+
     /** Returns the ids for a log line, separated by {@code +}; {@code -} when there are none. */
     public String label() {
         return shared.isEmpty() ? "-" : String.join("+", shared);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -24,6 +24,15 @@
 
     private static final long MAX_DURATION_MS = TimeUnit.HOURS.toMillis(24);
 
+    /** Longest time for which a quarantine holds items back before one is sent as a probe. */
+    public static final long MAX_ITEM_WAIT_MS = TimeUnit.SECONDS.toMillis(64);
+
+    /** Time until the first probe with an item. */
+    private static final long FIRST_ITEM_WAIT_MS = TimeUnit.SECONDS.toMillis(5);
+
+    /** Growth of the time between two probes with items. */
+    private static final double ITEM_WAIT_FACTOR = 2.5;
+
     /** Time in which a probe is answered or has failed. */
     private static final long PROBE_MS = TimeUnit.SECONDS.toMillis(30);
 
@@ -35,8 +44,16 @@
      * @param suspect the parts
      * @param sinceMs when it began, milliseconds since the Unix epoch
      * @param untilMs when a probe may be sent, milliseconds since the Unix epoch
+     * @param itemClaims number of probes with items that hosts have claimed
+     * @param nextItemProbeMs when the next one may be claimed, milliseconds since the Unix epoch
      */
-    public record Entry(Suspect suspect, long sinceMs, long untilMs) {
+    public record Entry(
+            Suspect suspect, long sinceMs, long untilMs, int itemClaims, long nextItemProbeMs) {
+        /** Creates an entry of which no probe with an item was claimed. */
+        public Entry(Suspect suspect, long sinceMs, long untilMs) {
+            this(suspect, sinceMs, untilMs, 0, sinceMs + FIRST_ITEM_WAIT_MS);
+        }
+
         /** Returns the entry of a suspect that was identified now. */
         public static Entry startingAt(Suspect suspect, long nowMs) {
             long durationMs = suspect.isSingleItem() ? FIRST_ITEM_DURATION_MS : FIRST_DURATION_MS;
@@ -45,8 +62,41 @@
 
         /** Returns the entry after a probe that ended another target. */
         Entry prolonged(long nowMs) {
-            long durationMs = Math.min(MAX_DURATION_MS, 2 * (untilMs - sinceMs));
-            return new Entry(suspect, nowMs, nowMs + durationMs);
+            long maxMs = suspect.isSingleItem() ? MAX_ITEM_WAIT_MS : MAX_DURATION_MS;
+            long durationMs = Math.min(maxMs, 2 * (untilMs - sinceMs));
+            return new Entry(suspect, nowMs, nowMs + durationMs, itemClaims, nextItemProbeMs);
+        }
+
+        /** Returns the entry after the next probe with an item was claimed. */
+        public Entry withItemClaim(long nowMs) {
+            Entry claimed = new Entry(suspect, sinceMs, untilMs, itemClaims + 1, 0);
+            long nextMs = nowMs + claimed.itemWaitMs();
+            return new Entry(suspect, sinceMs, untilMs, claimed.itemClaims(), nextMs);
+        }
+
+        /** Returns the time from the last claim of a probe with an item to the next. */
+        long itemWaitMs() {
+            double waitMs = FIRST_ITEM_WAIT_MS * Math.pow(ITEM_WAIT_FACTOR, itemClaims);
+            return (long) Math.min(MAX_ITEM_WAIT_MS, waitMs);
+        }
+
+        /**
+         * Returns what two entries of the same parts say together, in whichever order they came:
+         * the times of the newer one, and the claims of the one with more of them.
+         */
+        public Entry mergedWith(Entry other) {
+            Entry newer = sinceMs >= other.sinceMs ? this : other;
+            boolean hasMoreClaims =
+                    itemClaims == other.itemClaims
+                            ? nextItemProbeMs >= other.nextItemProbeMs
+                            : itemClaims > other.itemClaims;
+            Entry claimed = hasMoreClaims ? this : other;
+            return new Entry(
+                    suspect,
+                    newer.sinceMs,
+                    newer.untilMs,
+                    claimed.itemClaims,
+                    claimed.nextItemProbeMs);
         }
     }
 
@@ -58,19 +108,22 @@
     private final Map<Suspect, Long> mLiftedSinceMs = new LinkedHashMap<>();
 
     /**
-     * Adds an entry, or replaces the older one of the same parts. An entry that was lifted is not
-     * added again.
+     * Adds an entry, or what it says beyond the present one of the same parts. An entry that was
+     * lifted is not added again.
      *
-     * @return whether it was added
+     * @return whether it said anything new
      */
     public boolean add(Entry entry) {
-        Entry present = mEntries.get(entry.suspect());
         long lifted = mLiftedSinceMs.getOrDefault(entry.suspect(), Long.MIN_VALUE);
-        boolean outdated = present != null && present.sinceMs() >= entry.sinceMs();
-        if (outdated || lifted >= entry.sinceMs()) {
+        if (lifted >= entry.sinceMs()) {
+            return false;
+        }
+        Entry present = mEntries.get(entry.suspect());
+        Entry merged = present == null ? entry : entry.mergedWith(present);
+        if (merged.equals(present)) {
             return false;
         }
-        mEntries.put(entry.suspect(), entry);
+        mEntries.put(entry.suspect(), merged);
         dropOldest(mEntries);
         return true;
     }
@@ -113,40 +166,61 @@
         return List.copyOf(mEntries.values());
     }
 
-    /** Returns the entry that forbids to send a prompt to a service now, or null. */
+    /** Returns an entry that forbids to send a prompt to a service now, or null. */
     public @Nullable Entry blocking(String service, PromptParts prompt) {
+        List<Entry> blocking = allBlocking(service, prompt);
+        return blocking.isEmpty() ? null : blocking.get(0);
+    }
+
+    /** Returns the entries that forbid to send a prompt to a service now. */
+    public List<Entry> allBlocking(String service, PromptParts prompt) {
         if (mEntries.isEmpty() || prompt.shared().isEmpty()) {
-            return null;
+            return List.of();
         }
-        for (Entry entry : mEntries.values()) {
-            if (entry.suspect().matches(service, prompt)) {
-                return entry;
-            }
-        }
-        return null;
+        return mEntries.values().stream()
+                .filter(entry -> entry.suspect().matches(service, prompt))
+                .toList();
     }
 
     /**
      * Returns whether a request that {@code entry} blocks may be sent as the probe. Only one host
      * may ask; for a single item that is the one that runs its job.
      */
-    public boolean startProbe(Entry entry, String requestId, long nowMs) {
+    public boolean mayProbe(Entry entry, String requestId, long nowMs) {
         if (nowMs < entry.untilMs()) {
             return false;
         }
-        Probe probe = mProbes.get(entry.suspect());
-        if (probe != null && nowMs - probe.sentAtMs() < PROBE_MS) {
-            return probe.requestId().equals(requestId);
+        Probe probe = probeUnderWay(entry.suspect(), nowMs);
+        return probe == null || probe.requestId().equals(requestId);
+    }
+
+    private @Nullable Probe probeUnderWay(Suspect suspect, long nowMs) {
+        Probe probe = mProbes.get(suspect);
+        return probe == null || nowMs - probe.sentAtMs() >= PROBE_MS ? null : probe;
+    }
+
+    /** Sends a request as the probe of {@code entry} if it may be, and returns whether it is. */
+    public boolean startProbe(Entry entry, String requestId, long nowMs) {
+        if (!mayProbe(entry, requestId, nowMs)) {
+            return false;
+        }
+        if (probeUnderWay(entry.suspect(), nowMs) == null) {
+            mProbes.put(entry.suspect(), new Probe(requestId, nowMs));
         }
-        mProbes.put(entry.suspect(), new Probe(requestId, nowMs));
         return true;
     }
 
+    /** Returns whether a request was sent as a probe of {@code suspect}. */
+    public boolean isProbed(Suspect suspect) {
+        return mProbes.containsKey(suspect);
+    }
+
     /** Returns the entry that a complete answer lifts because it was the probe's, or null. */
     public @Nullable Entry liftedBySuccess(String service, PromptParts prompt) {
-        Entry entry = blocking(service, prompt);
-        boolean probed = entry != null && mProbes.containsKey(entry.suspect());
-        return probed ? entry : null;
+        return allBlocking(service, prompt).stream()
+                .filter(entry -> isProbed(entry.suspect()))
+                .findFirst()
+                .orElse(null);
     }
 
     /**
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -73,6 +73,10 @@
 
     private final Map<String, Map<String, Integer>> mPeerSuccesses = new HashMap<>();
     private final Map<String, Integer> mLastReported = new HashMap<>();
+
+    /** When a part was last shown to be sound; ends of before do not speak against it any more. */
+    private final Map<String, Long> mSoundSince = new HashMap<>();
+
     private final TargetIdentity mIdentity;
     private long mEndsOfNames;
 
@@ -105,6 +109,18 @@
         return PromptParts.isWhole(part) ? mOwnContentSuccesses : mOwnSuccesses;
     }
 
+    /** Records that a request with the parts of {@code suspect}, sent as a probe, was answered. */
+    public void recordSound(Suspect suspect, long now) {
+        suspect.parts().forEach(part -> mSoundSince.put(key(suspect.service(), part), now));
+    }
+
+    /** Returns the weight with which an end speaks against a part; 0 when it does not. */
+    private double weightOf(String part, SeenEnd seen) {
+        Long soundSince = mSoundSince.get(key(seen.end().service(), part));
+        boolean isOutdated = soundSince != null && seen.seenAt() - soundSince <= 0;
+        return isOutdated ? 0 : seen.end().weightOf(part);
+    }
+
     /** Records how many answers with a part a peer has completed lately. */
     public void recordPeerSuccesses(String host, String service, String part, int count) {
         if (mPeerSuccesses.size() < MAX_PEER_COUNTS) {
@@ -147,6 +163,7 @@
 
     private void dropOld(long now) {
         mEnds.values().removeIf(seen -> now - seen.seenAt() > END_TTL_NANOS);
+        mSoundSince.values().removeIf(since -> now - since > END_TTL_NANOS);
         while (mEnds.size() >= MAX_ENDS) {
             mEnds.remove(mEnds.keySet().iterator().next());
         }
@@ -229,13 +246,13 @@
         if (mIdentity == TargetIdentity.NAME) {
             return score(content, ends).sum();
         }
-        return ends.stream().mapToDouble(seen -> seen.end().weightOf(content)).sum();
+        return ends.stream().mapToDouble(seen -> weightOf(content, seen)).sum();
     }
 
-    private static Set<String> targetsOf(String part, List<SeenEnd> ends) {
+    private Set<String> targetsOf(String part, List<SeenEnd> ends) {
         Set<String> targets = new HashSet<>();
         for (SeenEnd seen : ends) {
-            if (seen.end().weightOf(part) > 0) {
+            if (weightOf(part, seen) > 0) {
                 targets.add(seen.end().target());
             }
         }
@@ -351,12 +368,12 @@
         return having >= COMMON_FRACTION * all;
     }
 
-    private static Score score(String part, List<SeenEnd> ends) {
+    private Score score(String part, List<SeenEnd> ends) {
         double sum = 0;
         double weightOfMoment = 0;
         long moment = Long.MIN_VALUE;
         for (SeenEnd seen : ends) {
-            double weight = seen.end().weightOf(part);
+            double weight = weightOf(part, seen);
             if (weight == 0) {
                 continue;
             }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -228,12 +228,15 @@
 
     /**
      * Returns the index of the next item that may be sent to {@code target}, or -1. Items whose
-     * prompts are in quarantine stay open and are looked at again later.
+     * prompts are in quarantine stay open and are looked at again later, once a probe was claimed
+     * for one of them or the quarantine is over.
      */
     private int nextItem(OwnedJob job, TargetInstance target) {
         long now = mContext.ticker().nanoTime();
         int index = job.progress().nextItem(now, target.software(), this::isServed);
         while (index >= 0 && isPromptQuarantined(job.progress().item(index), target.service())) {
+            PromptParts prompt = ItemRun.promptOf(mContext, job.progress().item(index));
+            mContext.promptGuard().claimItemProbe(target.service(), prompt);
             job.progress().defer(index, now + QUARANTINE_CHECK_NANOS);
             index = job.progress().nextItem(now, target.software(), this::isServed);
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -2,9 +2,12 @@
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.prompt.ItemProbes;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.PromptSuspects;
@@ -48,6 +51,8 @@
     private final PromptQuarantineStore mQuarantineStore;
     private final PromptSuspects mSuspects;
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
+    private final ItemProbes mItemProbes = new ItemProbes();
+    private final Set<Suspect> mClaiming = new HashSet<>();
     private final List<TargetEnd> mUnreportedEnds = new ArrayList<>();
     private final List<PromptQuarantine.Entry> mUnreportedEntries = new ArrayList<>();
     private final long mStartedAt;
@@ -98,28 +103,97 @@
 
     /**
      * Returns the quarantine that forbids to send a request to {@code service}, or null. A request
-     * that is the probe is not forbidden; the answer is the same at each check.
+     * that is the probe of each quarantine that concerns it is not forbidden; the answer is the
+     * same at each check.
      */
     public PromptQuarantine.@Nullable Entry blocking(
             String service, PromptParts prompt, String requestId) {
-        PromptQuarantine.Entry entry = mQuarantine.blocking(service, prompt);
-        if (entry == null) {
-            return null;
+        List<PromptQuarantine.Entry> entries = mQuarantine.allBlocking(service, prompt);
+        long nowMs = System.currentTimeMillis();
+        for (PromptQuarantine.Entry entry : entries) {
+            if (!mayPass(entry, prompt.itemId(), requestId, nowMs)) {
+                return entry;
+            }
         }
+        entries.forEach(entry -> mQuarantine.startProbe(entry, requestId, nowMs));
+        return null;
+    }
+
+    private boolean mayPass(
+            PromptQuarantine.Entry entry, String itemId, String requestId, long nowMs) {
         Suspect suspect = entry.suspect();
-        boolean mayProbe = suspect.isSingleItem() || mHosts.isProberOf(suspect.label());
-        boolean probe =
-                mayProbe && mQuarantine.startProbe(entry, requestId, System.currentTimeMillis());
-        return probe ? null : entry;
+        if (mItemProbes.isProbe(entry, itemId)) {
+            return true;
+        }
+        boolean mayProbe =
+                suspect.isSingleItem() || (itemId.isEmpty() && mHosts.isProberOf(suspect.label()));
+        return mayProbe && mQuarantine.mayProbe(entry, requestId, nowMs);
+    }
+
+    /**
+     * Claims the right to send an item as a probe of the quarantines that hold it back, once that
+     * is due for all of them. From the claim on {@link #blocking} does not forbid the item.
+     */
+    public void claimItemProbe(String service, PromptParts prompt) {
+        String itemId = prompt.itemId();
+        long nowMs = System.currentTimeMillis();
+        List<PromptQuarantine.Entry> toClaim = new ArrayList<>();
+        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
+            if (mayPass(entry, itemId, itemId, nowMs)) {
+                continue;
+            }
+            if (entry.suspect().isSingleItem() || !isClaimable(entry, nowMs)) {
+                return;
+            }
+            toClaim.add(entry);
+        }
+        toClaim.forEach(entry -> claim(entry.withItemClaim(nowMs), itemId));
+    }
+
+    private boolean isClaimable(PromptQuarantine.Entry entry, long nowMs) {
+        return mItemProbes.isDue(entry, nowMs, mTicker.nanoTime())
+                && !mClaiming.contains(entry.suspect());
+    }
+
+    private void claim(PromptQuarantine.Entry claimed, String itemId) {
+        Suspect suspect = claimed.suspect();
+        mClaiming.add(suspect);
+        mQuarantineStore
+                .claim(claimed)
+                .onComplete(
+                        done -> {
+                            mClaiming.remove(suspect);
+                            boolean owned = done.succeeded() && done.result();
+                            if (owned) {
+                                add(claimed);
+                            }
+                            // The store's watch may have brought a lift or a later claim before.
+                            if (owned && mQuarantine.isInForce(claimed)) {
+                                mItemProbes.start(claimed, itemId);
+                            }
+                            LOG.info(
+                                    "step=prompt-probe prompt={} service={} item={} claims={}"
+                                            + " next_ms={} outcome={}",
+                                    suspect.label(),
+                                    suspect.service(),
+                                    itemId,
+                                    claimed.itemClaims(),
+                                    claimed.nextItemProbeMs(),
+                                    done.failed() ? "unknown" : owned ? "claimed" : "conflict");
+                        });
     }
 
     /** Records that a target answered a request completely. */
     public void recordSuccess(String service, PromptParts prompt) {
         mSuspects.recordSuccess(service, prompt, mTicker.nanoTime());
-        PromptQuarantine.Entry lifted = mQuarantine.liftedBySuccess(service, prompt);
-        if (lifted != null) {
-            mQuarantineStore.remove(lifted.suspect());
-            lift(lifted.suspect());
+        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
+            Suspect suspect = entry.suspect();
+            boolean isProbe =
+                    mQuarantine.isProbed(suspect) || mItemProbes.wasProbe(suspect, prompt.itemId());
+            if (isProbe) {
+                mQuarantineStore.remove(entry);
+                lift(suspect);
+            }
         }
     }
 
@@ -129,6 +203,9 @@
      * @param events number of events of the answer that had arrived
      */
     public void recordLostRun(LostTarget target, PromptParts prompt, long events) {
+        mQuarantine
+                .allBlocking(target.service(), prompt)
+                .forEach(entry -> mItemProbes.end(entry.suspect(), prompt.itemId()));
         mDetector.recordLostRun(target, prompt, events);
     }
 
@@ -160,7 +237,7 @@
         for (Suspect suspect : mSuspects.findCauses(now, mQuarantine::contains)) {
             PromptQuarantine.Entry entry =
                     PromptQuarantine.Entry.startingAt(suspect, System.currentTimeMillis());
-            mQuarantine.add(entry);
+            add(entry);
             announce(entry, "started");
         }
         sendEvidence();
@@ -170,6 +247,15 @@
         }
     }
 
+    private boolean add(PromptQuarantine.Entry entry) {
+        boolean added = mQuarantine.add(entry);
+        if (added) {
+            mItemProbes.retain(mQuarantine::contains);
+            mItemProbes.recordEntry(entry, mTicker.nanoTime());
+        }
+        return added;
+    }
+
     private void announce(PromptQuarantine.Entry entry, String outcome) {
         LOG.warn(
                 "step=prompt-quarantine prompt={} service={} source=self until_ms={} outcome={}",
@@ -244,7 +330,7 @@
 
     private void adopt(PromptQuarantine.Entry entry, String source) {
         boolean known = mQuarantine.contains(entry.suspect());
-        if (mQuarantine.add(entry) && !known) {
+        if (add(entry) && !known) {
             LOG.warn(
                     "step=prompt-quarantine prompt={} service={} source={} until_ms={}"
                             + " outcome=started",
@@ -258,6 +344,8 @@
 
     private void lift(Suspect suspect) {
         if (mQuarantine.lift(suspect)) {
+            mItemProbes.retain(mQuarantine::contains);
+            mSuspects.recordSound(suspect, mTicker.nanoTime());
             LOG.warn(
                     "step=prompt-quarantine prompt={} service={} outcome=lifted",
                     suspect.label(),
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.prompt;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -20,6 +21,7 @@
 import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
+import org.sesamepin.node.spi.StoreResult;
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.StoredJson;
 import org.slf4j.Logger;
@@ -98,7 +100,9 @@
         StoreTransaction transaction =
                 new StoreTransaction()
                         .ifUnchanged(key, stored == null ? 0 : stored.revision())
-                        .put(key, encode(entry));
+                        .put(
+                                key,
+                                encode(stored == null ? entry : entry.mergedWith(stored.entry())));
         mStorage.commit()
                 .apply(transaction)
                 .onSuccess(
@@ -119,16 +123,39 @@
         mVertx.setTimer(RETRY_DELAY_MS, t -> put(entry));
     }
 
-    /** Removes the entry of {@code suspect}, if the store holds one. */
-    void remove(Suspect suspect) {
-        String key = key(suspect);
+    /**
+     * Removes an entry from the store, unless the store holds a newer quarantine of the same parts.
+     */
+    void remove(PromptQuarantine.Entry entry) {
+        String key = key(entry.suspect());
         Stored stored = mStored.get(key);
-        if (stored == null) {
+        if (stored == null || stored.entry().sinceMs() > entry.sinceMs()) {
             return;
         }
         mStorage.commit()
                 .apply(new StoreTransaction().ifUnchanged(key, stored.revision()).delete(key))
-                .onFailure(e -> mVertx.setTimer(RETRY_DELAY_MS, t -> remove(suspect)));
+                .map(StoreResult::committed)
+                .otherwise(false)
+                .onSuccess(
+                        removed -> {
+                            if (!removed) {
+                                mVertx.setTimer(RETRY_DELAY_MS, t -> remove(entry));
+                            }
+                        });
+    }
+
+    /**
+     * Replaces an entry by {@code claimed}, if the store holds none that this host does not know.
+     * Returns whether the store has replaced it; the future fails when that is unknown.
+     */
+    Future<Boolean> claim(PromptQuarantine.Entry claimed) {
+        String key = key(claimed.suspect());
+        Stored stored = mStored.get(key);
+        StoreTransaction transaction =
+                new StoreTransaction()
+                        .ifUnchanged(key, stored == null ? 0 : stored.revision())
+                        .put(key, encode(claimed));
+        return mStorage.commit().apply(transaction).map(StoreResult::committed);
     }
 
     private static String encode(PromptQuarantine.Entry entry) {
@@ -137,6 +164,8 @@
                 .put("parts", new JsonArray(List.copyOf(entry.suspect().parts())))
                 .put("since_ms", entry.sinceMs())
                 .put("until_ms", entry.untilMs())
+                .put("item_claims", entry.itemClaims())
+                .put("next_item_probe_ms", entry.nextItemProbeMs())
                 .encode();
     }
 
@@ -156,10 +185,17 @@
     private static PromptQuarantine.Entry decodeEntry(JsonObject json) {
         Set<String> parts = new HashSet<>();
         json.getJsonArray("parts").forEach(part -> parts.add((String) part));
+        PromptQuarantine.Entry entry =
+                new PromptQuarantine.Entry(
+                        new Suspect(json.getString("service"), parts),
+                        json.getLong("since_ms"),
+                        json.getLong("until_ms"));
         return new PromptQuarantine.Entry(
-                new Suspect(json.getString("service"), parts),
-                json.getLong("since_ms"),
-                json.getLong("until_ms"));
+                entry.suspect(),
+                entry.sinceMs(),
+                entry.untilMs(),
+                json.getInteger("item_claims", entry.itemClaims()),
+                json.getLong("next_item_probe_ms", entry.nextItemProbeMs()));
     }
 
     @Override
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Future;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -17,6 +18,7 @@
 import org.sesamepin.core.serving.RouteKind;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.job.MemoryStore;
+import org.sesamepin.node.spi.StoreTransaction;
 
 /** Plays requests of which some have a part that ends each target that answers it. */
 class PromptThatEndsTargetsTest {
@@ -31,6 +33,7 @@
     private static final long FINISH_MS = 18_000;
 
     private static final int SUBJECTS = 6;
+    private static final int ITEMS = 4;
     private static final String BAD = "bad";
     private static final String REFUSAL = ProblemType.PROMPT_QUARANTINED.label();
     private static final MemoryStore.Fault[] REFUSED_WRITES = new MemoryStore.Fault[500];
@@ -144,6 +147,40 @@
         }
     }
 
+    /** Guards against items that wait for a quarantine which none of their hosts may probe. */
+    @Test
+    void itemsWhoseSharedPartIsHeldBackWronglyAreDoneSoon() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of())) {
+            fleet.start(NODES, TARGETS);
+            long nowMs = System.currentTimeMillis();
+            onLoop(fleet, () -> fleet.store().commit(quarantine("shared", nowMs)));
+            awaitTrue(FINISH_MS, "all know it", () -> fleet.quarantines(NODES - 1) == 1);
+            for (int node = 0; node < NODES; node++) {
+                fleet.submitJob(node, "job" + node, Collections.nCopies(ITEMS, "shared"));
+            }
+            for (int node = 0; node < NODES; node++) {
+                String job = "job" + node;
+                int ofNode = node;
+                awaitTrue(
+                        FINISH_MS,
+                        "all items are done",
+                        () -> fleet.results(ofNode, job).size() == ITEMS);
+            }
+        }
+    }
+
+    private static StoreTransaction quarantine(String part, long nowMs) {
+        String entry =
+                "{\"service\":\"%s\",\"parts\":[\"%s\"],\"since_ms\":%d,\"until_ms\":%d}"
+                        .formatted(
+                                StandInTargets.SERVICE,
+                                part,
+                                nowMs,
+                                nowMs + TimeUnit.MINUTES.toMillis(10));
+        String key = ServingKeys.promptQuarantinePrefix() + StandInTargets.SERVICE + '/' + part;
+        return new StoreTransaction().put(key, entry);
+    }
+
     private static void awaitTrue(long timeoutMs, String what, Callable<Boolean> condition)
             throws Exception {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
