Count a preempted run that was answered for a while as an answer

Callers saw items wait, since a part that they share was held back for ends of targets that it had not caused. Only whole answers spoke for a part, so four ends outweighed them, though half of the preempted runs had been answered for 0.7 s or more.

A part that ends its targets does so as its answer begins, so a run that was answered for half a second before this host preempted it counts as an answer now.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -55,6 +55,9 @@
     /** Time in which all hosts report one end of a target; shorter than a target needs to start. */
     private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** Time for which a preempted run has to be answered to speak for the parts of its prompt. */
+    private static final long SOUND_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final int MAX_ENDS = 64;
     private static final int MAX_RUNS_PER_END = 64;
     private static final int MAX_CANDIDATES = 256;
@@ -105,6 +108,18 @@
         prompt.shared().forEach(part -> ownSuccesses(part).add(key(service, part), now));
     }
 
+    /**
+     * Records a run that this host preempted. Long items are hardly ever answered whole while
+     * online requests need their slots, so a run that was answered for a while counts as an answer.
+     *
+     * @param answeredNanos time from its first event to its preemption; 0 when it had no event
+     */
+    public void recordPreemption(String service, PromptParts prompt, long answeredNanos, long now) {
+        if (answeredNanos >= SOUND_RUN_NANOS) {
+            recordSuccess(service, prompt, now);
+        }
+    }
+
     private SuccessCounts ownSuccesses(String part) {
         return PromptParts.isWhole(part) ? mOwnContentSuccesses : mOwnSuccesses;
     }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptLoad.java
@@ -20,12 +20,19 @@
     static final String SERVICE = "s";
     static final long STEP_MS = 10;
     private static final long ANSWER_MS = 400;
+    private static final long ITEM_ANSWER_MS = 4_000;
+    private static final long FIRST_EVENT_MS = 30;
     private static final long MS_TO_END_TARGET = 100;
     private static final long PEER_DELAY_MS = 80;
     private static final long STORE_DELAY_MS = 600;
     private static final long REPORT_INTERVAL_MS = 50;
 
-    private record Running(int host, PromptParts parts, long startedAt, boolean bad) {}
+    private record Running(
+            int host, PromptParts parts, long startedAt, boolean bad, boolean isItem) {
+        boolean isAnswered(long now) {
+            return now - startedAt >= (isItem ? ITEM_ANSWER_MS : ANSWER_MS);
+        }
+    }
 
     private record Message(long arrivesAt, Runnable delivery) {}
 
@@ -96,14 +103,29 @@
             end(target);
             return;
         }
-        List<Running> answered =
-                running.stream().filter(r -> mNow - r.startedAt() >= ANSWER_MS).toList();
+        List<Running> answered = running.stream().filter(r -> r.isAnswered(mNow)).toList();
         running.removeAll(answered);
         for (Running r : answered) {
             mHosts.get(r.host()).mSuspects.recordSuccess(SERVICE, r.parts(), nanos());
         }
     }
 
+    /** Lets the hosts preempt all items at a target. */
+    void preemptItems(String target) {
+        List<Running> items = runningAt(target).stream().filter(Running::isItem).toList();
+        runningAt(target).removeAll(items);
+        for (Running item : items) {
+            long answeredMs = mNow - item.startedAt() - FIRST_EVENT_MS;
+            mHosts.get(item.host())
+                    .mSuspects
+                    .recordPreemption(
+                            SERVICE,
+                            item.parts(),
+                            TimeUnit.MILLISECONDS.toNanos(answeredMs),
+                            nanos());
+        }
+    }
+
     /** Ends a target with all that it runs. */
     void end(String target) {
         List<Running> running = runningAt(target);
@@ -112,7 +134,7 @@
         startTarget();
         Map<Integer, List<TargetEnd.Run>> runsByHost = new HashMap<>();
         for (Running r : running) {
-            long events = r.bad() ? 0 : (mNow - r.startedAt()) / 30;
+            long events = r.bad() ? 0 : (mNow - r.startedAt()) / FIRST_EVENT_MS;
             runsByHost
                     .computeIfAbsent(r.host(), h -> new ArrayList<>())
                     .add(TargetEnd.Run.afterEvents(r.parts(), events));
@@ -160,6 +182,15 @@
 
     /** Sends a request from a host to a random target, unless the host holds it back. */
     void send(String... parts) {
+        send(false, parts);
+    }
+
+    /** Sends a long item of a job, which has to be preempted to end early. */
+    void sendItem(String... parts) {
+        send(true, parts);
+    }
+
+    private void send(boolean isItem, String... parts) {
         PromptParts prompt = new PromptParts(List.of(parts));
         boolean bad = prompt.shared().stream().anyMatch(mBadParts::contains);
         double draw = mRandom.nextDouble();
@@ -173,7 +204,7 @@
         if (bad) {
             mBadSends.add(mNow);
         }
-        runningAt(randomTarget()).add(new Running(host, prompt, mNow, bad));
+        runningAt(randomTarget()).add(new Running(host, prompt, mNow, bad, isItem));
     }
 
     String randomTarget() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
@@ -86,6 +86,46 @@
         }
     }
 
+    /** Plays items that share a part and are preempted before they are done. */
+    private static PromptLoad playItemsInAFlood(int seed, Set<String> badParts) {
+        PromptLoad load = new PromptLoad(seed, HOSTS, TARGETS, badParts);
+        for (long ms = 0; ms < PLAYED_MS; ms += PromptLoad.STEP_MS) {
+            sendSound(load);
+            if (load.draw(0.1)) {
+                load.sendItem("shared");
+            }
+            if (load.draw(0.2)) {
+                load.preemptItems(load.randomTarget());
+            }
+            load.step();
+            if (badParts.isEmpty() && ms % 2_000 == 0) {
+                List.of(1, 2, 3, 4).forEach(n -> load.end(load.randomTarget()));
+            }
+        }
+        return load;
+    }
+
+    /**
+     * Guards against items that wait, since nothing but the ends of targets spoke of their part.
+     */
+    @Test
+    void endsOfAnotherCauseBlockNoPartOfItemsThatArePreempted() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            PromptLoad load = playItemsInAFlood(seed, Set.of());
+            assertTrue(load.ends() > 20);
+            assertEquals(Set.of(), load.quarantined(), "seed " + seed);
+        }
+    }
+
+    @Test
+    void aBadPartOfItemsThatArePreemptedIsFound() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            PromptLoad load = playItemsInAFlood(seed, Set.of("shared"));
+            assertEquals(Set.of("shared"), load.quarantined(), "seed " + seed);
+            assertTrue(load.badSendsAfterEnd(5, LEARNING_WINDOW_MS) <= MAX_LATE_SENDS);
+        }
+    }
+
     @Test
     void aPartThatOnlyCameWithTheBadOnePassesWithoutIt() {
         PromptLoad load = new PromptLoad(1, HOSTS, TARGETS, Set.of("bad"));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -37,8 +37,10 @@
     private final ItemRunTimes mRunTimes;
     private final Runnable mOnEnd;
     private final TargetAttempt mAttempt;
-    private final String mPromptLabel;
+    private final PromptParts mPrompt;
     private final long mResumeAfter;
+    private boolean mHasEvent;
+    private long mFirstEventAt;
 
     /** Creates a run; {@code onEnd} is called when it ends, unless by {@link #suspend}. */
     ItemRun(
@@ -84,7 +86,7 @@
                         true,
                         !job.recordTarget(index, target.incarnation()),
                         MAX_SILENCE_MS);
-        mPromptLabel = head.prompt().label();
+        mPrompt = head.prompt();
         StreamEventGate gate =
                 new StreamEventGate(
                         this,
@@ -121,7 +123,7 @@
                 mJob.summary().customer(),
                 mTarget.incarnation(),
                 mTarget.version(),
-                mPromptLabel,
+                mPrompt.label(),
                 mResumeAfter,
                 progress().lastEventId(mIndex),
                 mContext.state().config().version());
@@ -132,7 +134,10 @@
     void suspend() {
         mAttempt.cancel();
         mJob.runs().remove(mIndex);
-        progress().recordSuspension(mIndex, mContext.ticker().nanoTime());
+        long now = mContext.ticker().nanoTime();
+        progress().recordSuspension(mIndex, now);
+        long answeredNanos = mHasEvent ? now - mFirstEventAt : 0;
+        mContext.promptGuard().recordPreemption(mTarget.service(), mPrompt, answeredNanos);
         mContext.metrics().countItem("suspended");
         LOG.info(
                 "step=item request={} job={} target={} outcome=suspended after_event={}",
@@ -158,6 +163,10 @@
 
     @Override
     public void onEvent(Buffer event, long id) {
+        if (!mHasEvent) {
+            mHasEvent = true;
+            mFirstEventAt = mContext.ticker().nanoTime();
+        }
         if (id == mResumeAfter + 1) {
             progress().recordStreamStart(mIndex, mTarget.software());
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -197,6 +197,15 @@
         }
     }
 
+    /**
+     * Records that this host preempted a run.
+     *
+     * @param answeredNanos time from its first event to its preemption; 0 when it had no event
+     */
+    public void recordPreemption(String service, PromptParts prompt, long answeredNanos) {
+        mSuspects.recordPreemption(service, prompt, answeredNanos, mTicker.nanoTime());
+    }
+
     /**
      * Records that a ready target closed the connection on which it ran a request.
      *
