Forget the waiting items of hosts that have ended

What callers saw: items of a job stay open for many seconds after a host was killed, while targets are idle. Cause: the coordinator of a service kept the waiting items of a host that ended for good. Its items are often due first, so that it got the free slots, and each of its grants counts as in flight for 1.5 s. The fix: a host's waiting items expire with its report, as its requests in flight do. A host that is alive reports every 500 ms.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
@@ -14,7 +14,8 @@
  * wrong count is corrected by the host's next report. Not thread-safe.
  */
 final class InFlightTable {
-    private static final long REPORT_TTL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    /** Time after its last report for which a host counts as alive. */
+    static final long REPORT_TTL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     /** Hosts that must report a target as failing before requests of other hosts avoid it. */
     private static final int MIN_FAILING_HOSTS = 2;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -184,7 +184,7 @@
         }
         mInFlight.recordReport(status.host(), counts, status.failingTargets(), now);
         mSpeeds.recordReport(status.host(), status.eventIntervalsMs());
-        mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt());
+        mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt(), now);
     }
 
     /**
@@ -322,6 +322,7 @@
                 grants.add(grant);
             }
         }
+        mWaitingItems.dropExpired(now);
         if (mQueue.isEmpty()) {
             placeBatchItems(targets, now, grants);
         }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
@@ -5,9 +5,16 @@
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.job.DueOrder;
 
-/** Batch items that wait for a placement, by host, as the hosts reported. Not thread-safe. */
+/**
+ * Batch items that wait for a placement, by host, as the hosts reported. A report expires, since a
+ * host that has ended cannot use a placement. Not thread-safe.
+ */
 final class WaitingItemsTable {
-    private record Waiting(int items, long firstDueAt) {}
+    private record Waiting(int items, long firstDueAt, long reportedAt) {
+        Waiting withoutOne() {
+            return new Waiting(items - 1, firstDueAt, reportedAt);
+        }
+    }
 
     private final Map<String, Waiting> mByHost = new HashMap<>();
 
@@ -16,9 +23,9 @@
      *
      * @param firstDueAt reading of the monotonic clock at which the first item is due, nanoseconds
      */
-    void recordReport(String host, int items, long firstDueAt) {
+    void recordReport(String host, int items, long firstDueAt, long now) {
         if (items > 0) {
-            mByHost.put(host, new Waiting(items, firstDueAt));
+            mByHost.put(host, new Waiting(items, firstDueAt, now));
         } else {
             mByHost.remove(host);
         }
@@ -27,11 +34,13 @@
     /** Removes one item of {@code host}, which was placed. */
     void removeOne(String host) {
         mByHost.computeIfPresent(
-                host,
-                (name, waiting) ->
-                        waiting.items() > 1
-                                ? new Waiting(waiting.items() - 1, waiting.firstDueAt())
-                                : null);
+                host, (name, waiting) -> waiting.items() > 1 ? waiting.withoutOne() : null);
+    }
+
+    /** Drops the items of the hosts that have not reported for a while. */
+    void dropExpired(long now) {
+        mByHost.values()
+                .removeIf(waiting -> now - waiting.reportedAt() > InFlightTable.REPORT_TTL_NANOS);
     }
 
     boolean isEmpty() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -349,4 +349,29 @@
                         .map(ServiceCoordinator.Grant::host)
                         .toList());
     }
+
+    private void reportAt(String host, int waitingItems, long firstDueAt, long now) {
+        mCoordinator.recordReport(
+                new ServiceCoordinator.HostStatus(
+                        host, Map.of(), Map.of(), Set.of(), Map.of(), waitingItems, firstDueAt),
+                now);
+    }
+
+    /** Guards against grants to a host that ended, which keep slots from the items of others. */
+    @Test
+    void itemsDoNotWaitBehindThoseOfAHostThatEnded() {
+        List<TargetInstance> targets = targets(1);
+        reportAt("ended", 60, 60_000 * MS, 0);
+        for (long now = 0; now <= 2_000 * MS; now += 25 * MS) {
+            mCoordinator.placeWaiting(targets, now);
+        }
+        List<String> hosts = new ArrayList<>();
+        for (long now = 2_000 * MS; now <= 5_000 * MS; now += 25 * MS) {
+            if (now % (500 * MS) == 0) {
+                reportAt("alive", 1, 90_000 * MS, now);
+            }
+            mCoordinator.placeWaiting(targets, now).forEach(grant -> hosts.add(grant.host()));
+        }
+        assertTrue(hosts.contains("alive"), "grants: " + hosts);
+    }
 }
