Let batch items use the only slot of a target

What callers saw: items of a service whose targets have one slot are never run, although the targets are idle. Cause: batch items leave one slot of each target free for online requests, so that a target with one slot has none for them, at a coordinator and where no host coordinates. Evidence: itemRunsAtATargetWithOneSlot failed before (no grant) and passes now. The change of TargetSelector, which places items where no host coordinates, is the same rule and has no test of its own. The fix: items may use at least one slot of each target.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -354,7 +354,7 @@
                     totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
             int total = count.online() + count.batch();
             boolean hasRoom =
-                    total + SLOTS_RESERVED_FOR_ONLINE < target.slots()
+                    total < target.slotsForBatch(SLOTS_RESERVED_FOR_ONLINE)
                             && mBuckets.mayStart(
                                     target.incarnation(),
                                     WHOLE_LIMIT,
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetInstance.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetInstance.java
@@ -37,4 +37,14 @@
     public String incarnation() {
         return id + '@' + startedAtMs;
     }
+
+    /**
+     * Returns the slots that batch items may use; at least one, since items for which all slots are
+     * reserved would wait for good.
+     *
+     * @param reserved slots that batch items leave free where the target has more than one
+     */
+    public int slotsForBatch(int reserved) {
+        return Math.max(1, slots - reserved);
+    }
 }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetSelector.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetSelector.java
@@ -85,7 +85,7 @@
 
     /**
      * Returns the target for a batch item, or null: the target with the lowest occupancy that has
-     * at least {@code reserve} slots free beside the item, is not backing off and is not in {@code
+     * one of its {@link TargetInstance#slotsForBatch} free, is not backing off and is not in {@code
      * tried}.
      */
     public @Nullable Choice selectForBatch(
@@ -93,7 +93,7 @@
         Choice best = null;
         for (TargetInstance target : targets) {
             TargetLoad load = mLoads.apply(target);
-            boolean hasRoom = load.inFlight() + reserve < target.slots();
+            boolean hasRoom = load.inFlight() < target.slotsForBatch(reserve);
             if (!hasRoom || load.isBackingOff(now) || tried.contains(target.incarnation())) {
                 continue;
             }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -374,4 +374,17 @@
         }
         assertTrue(hosts.contains("alive"), "grants: " + hosts);
     }
+
+    private static TargetInstance targetWithSlots(int slots) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1_000);
+        return new TargetInstance("t0", 1, "s", "v1", address, "a", slots, TargetState.READY, 0);
+    }
+
+    /** Guards against items that wait for good because the only slot of a target is reserved. */
+    @Test
+    void itemRunsAtATargetWithOneSlot() {
+        List<TargetInstance> targets = List.of(targetWithSlots(1));
+        reportWaitingItems("host", 2, 0);
+        assertEquals(1, mCoordinator.placeWaiting(targets, 0).size());
+    }
 }
