Place items while online requests wait for other targets

What callers saw: items stay open while targets are idle, as long as streams wait to go on at a version whose targets are full, or requests wait that have failed at the idle targets. Cause: the coordinator granted nothing to items while any online request waited, whichever targets that request may use. Evidence: itemsUseTargetsThatNoWaitingRequestMayUse failed before (no grant at an idle target of another version) and passes now; placesNoBatchItemWhileOnlineRequestWaits passes before and after. The fix: items leave to the queue exactly the targets that a request in it may use.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -42,6 +42,11 @@
             long deadline,
             Set<String> excluded,
             @Nullable String version) {
+        private boolean mayUse(TargetInstance target) {
+            return (version == null || target.version().equals(version))
+                    && !excluded.contains(target.incarnation());
+        }
+
         /**
          * Returns those of {@code targets} on which a request that continues a stream may go on.
          */
@@ -49,10 +54,7 @@
             if (version == null) {
                 return targets;
             }
-            return targets.stream()
-                    .filter(target -> target.version().equals(version))
-                    .filter(target -> !excluded.contains(target.incarnation()))
-                    .toList();
+            return targets.stream().filter(this::mayUse).toList();
         }
     }
 
@@ -323,16 +325,27 @@
             }
         }
         mWaitingItems.dropExpired(now);
-        if (mQueue.isEmpty()) {
-            placeBatchItems(targets, now, grants);
-        }
+        placeBatchItems(targets, now, grants);
         return grants;
     }
 
+    /** Returns the incarnations of the targets that a waiting online request may use. */
+    private Set<String> targetsOfQueue(List<TargetInstance> targets) {
+        List<Request> waiting = mQueue.requests();
+        Set<String> wanted = new HashSet<>();
+        for (TargetInstance target : targets) {
+            if (waiting.stream().anyMatch(request -> request.mayUse(target))) {
+                wanted.add(target.incarnation());
+            }
+        }
+        return wanted;
+    }
+
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
+        Set<String> wantedTargets = targetsOfQueue(targets);
         while (!mWaitingItems.isEmpty()) {
             String host = mWaitingItems.hostWithFirstDueItem(now);
-            Grant grant = placeBatchItem(host, targets, now);
+            Grant grant = placeBatchItem(host, targets, wantedTargets, now);
             if (grant == null) {
                 return;
             }
@@ -341,7 +354,8 @@
         }
     }
 
-    private @Nullable Grant placeBatchItem(String host, List<TargetInstance> targets, long now) {
+    private @Nullable Grant placeBatchItem(
+            String host, List<TargetInstance> targets, Set<String> wantedTargets, long now) {
         Set<String> avoidedTargets = mInFlight.targetsToAvoid(host, targets);
         Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
         Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
@@ -368,6 +382,7 @@
             boolean usable =
                     hasRoom
                             && slowdown <= maxSlowdown
+                            && !wantedTargets.contains(target.incarnation())
                             && !avoidedTargets.contains(target.incarnation());
             if (usable && cost < leastCost) {
                 leastCost = cost;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -387,4 +387,15 @@
         reportWaitingItems("host", 2, 0);
         assertEquals(1, mCoordinator.placeWaiting(targets, 0).size());
     }
+
+    /** Guards against items that wait for a request which may not use the idle targets. */
+    @Test
+    void itemsUseTargetsThatNoWaitingRequestMayUse() {
+        List<TargetInstance> targets = targetsOf("old", "new");
+        report("host", Map.of("t0@1", SLOTS + 1), Map.of());
+        reportAt("items", 1, 0, 0);
+        assertNull(requestVersion("r", "old", Set.of(), targets).grant());
+        List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
+        assertEquals(List.of("t1"), grants.stream().map(grant -> grant.target().id()).toList());
+    }
 }
