Place the items of a host behind one that finds no target

What callers saw: items stay open while targets are idle, as long as another host, whose items are due first, avoids these targets because they fail its requests, for example because its path to them is cut. Cause: the coordinator granted items strictly in order of their due times, and stopped at the first host for which it found no target. Evidence: itemsDoNotWaitBehindThoseOfAHostThatAvoidsTheIdleTargets failed before (no grant) and passes now. The fix: such a host is passed over in that round. Hosts that avoid the same targets are not tried one by one, so that a round without free slots costs as much as before.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -343,20 +343,30 @@
 
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
         Set<String> wantedTargets = targetsOfQueue(targets);
-        while (!mWaitingItems.isEmpty()) {
-            String host = mWaitingItems.hostWithFirstDueItem(now);
-            Grant grant = placeBatchItem(host, targets, wantedTargets, now);
+        Set<String> hostsWithoutTarget = new HashSet<>();
+        Set<Set<String>> avoidedInVain = new HashSet<>();
+        String host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
+        while (!host.isEmpty()) {
+            Set<String> avoided = mInFlight.targetsToAvoid(host, targets);
+            Set<String> unusable = new HashSet<>(avoided);
+            unusable.addAll(wantedTargets);
+            Grant grant =
+                    avoidedInVain.contains(avoided)
+                            ? null
+                            : placeBatchItem(host, targets, unusable, now);
             if (grant == null) {
-                return;
+                avoidedInVain.add(avoided);
+                hostsWithoutTarget.add(host);
+            } else {
+                grants.add(grant);
+                mWaitingItems.removeOne(host);
             }
-            grants.add(grant);
-            mWaitingItems.removeOne(host);
+            host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
         }
     }
 
     private @Nullable Grant placeBatchItem(
-            String host, List<TargetInstance> targets, Set<String> wantedTargets, long now) {
-        Set<String> avoidedTargets = mInFlight.targetsToAvoid(host, targets);
+            String host, List<TargetInstance> targets, Set<String> unusable, long now) {
         Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
         Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
         double maxSlowdown =
@@ -380,10 +390,7 @@
                 cost *= LIMITED_TARGET_ITEM_COST;
             }
             boolean usable =
-                    hasRoom
-                            && slowdown <= maxSlowdown
-                            && !wantedTargets.contains(target.incarnation())
-                            && !avoidedTargets.contains(target.incarnation());
+                    hasRoom && slowdown <= maxSlowdown && !unusable.contains(target.incarnation());
             if (usable && cost < leastCost) {
                 leastCost = cost;
                 best = target;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.job.DueOrder;
 
@@ -43,20 +44,22 @@
                 .removeIf(waiting -> now - waiting.reportedAt() > InFlightTable.REPORT_TTL_NANOS);
     }
 
-    boolean isEmpty() {
-        return mByHost.isEmpty();
-    }
-
     /** Returns the number of waiting items of all hosts. */
     int total() {
         return mByHost.values().stream().mapToInt(Waiting::items).sum();
     }
 
-    /** Returns the host whose first item is due first; empty when none waits. */
-    String hostWithFirstDueItem(long now) {
+    /**
+     * Returns the host whose first item is due first, except those of {@code excluded}; empty when
+     * no item waits.
+     */
+    String hostWithFirstDueItem(Set<String> excluded, long now) {
         String firstHost = "";
         long firstDueInMs = 0;
         for (Map.Entry<String, Waiting> entry : mByHost.entrySet()) {
+            if (excluded.contains(entry.getKey())) {
+                continue;
+            }
             long dueInMs = TimeUnit.NANOSECONDS.toMillis(entry.getValue().firstDueAt() - now);
             if (firstHost.isEmpty() || DueOrder.compare(dueInMs, firstDueInMs) < 0) {
                 firstHost = entry.getKey();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -398,4 +398,19 @@
         List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
         assertEquals(List.of("t1"), grants.stream().map(grant -> grant.target().id()).toList());
     }
+
+    /** Guards against items that wait behind those of a host with no path to the idle targets. */
+    @Test
+    void itemsDoNotWaitBehindThoseOfAHostThatAvoidsTheIdleTargets() {
+        List<TargetInstance> targets = targets(2);
+        report("online", Map.of("t1@1", SLOTS), Map.of());
+        mCoordinator.recordReport(
+                new ServiceCoordinator.HostStatus(
+                        "cut-off", Map.of(), Map.of(), Set.of("t0@1"), Map.of(), 1, 1_500 * MS),
+                0);
+        reportWaitingItems("items", 1, 2_000 * MS);
+        List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
+        assertEquals(
+                List.of("items"), grants.stream().map(ServiceCoordinator.Grant::host).toList());
+    }
 }
