Bound the time for which items wait for fast targets

What callers saw: items stay open while slow targets are idle, as long as online requests keep the faster targets full. Cause: items wait for targets of at least half the speed of the fastest unless more of them wait than those targets have slots in all, whether or not the slots ever become free. One target that seems much faster than it is makes all others slow. Evidence: itemsUseSlowTargetsWhenTheFastOnesStayFull failed before (no grant in five seconds) and passes now; CoordinatorLoadTest, OverloadTest and TargetLimitLoadTest pass. The fix: after three seconds without a placement, the items of a host take a target of any speed.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -155,6 +155,19 @@
      */
     private static final double MAX_BATCH_SLOWDOWN = 2;
 
+    /**
+     * Time without a placement after which the items of a host take a slow target: online requests
+     * may keep the faster ones full.
+     */
+    private static final long MAX_WAIT_FOR_FAST_TARGET_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Which targets the items of a host may use. */
+    private record ItemTargets(Set<String> unusable, double maxSlowdown) {
+        boolean include(TargetInstance target, double slowdown) {
+            return slowdown <= maxSlowdown && !unusable.contains(target.incarnation());
+        }
+    }
+
     private final TargetRateLimits mLimits;
     private final TargetRequestBuckets mBuckets;
     private final InFlightTable mInFlight = new InFlightTable();
@@ -344,33 +357,40 @@
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
         Set<String> wantedTargets = targetsOfQueue(targets);
         Set<String> hostsWithoutTarget = new HashSet<>();
-        Set<Set<String>> avoidedInVain = new HashSet<>();
+        Set<ItemTargets> withoutRoom = new HashSet<>();
         String host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
         while (!host.isEmpty()) {
-            Set<String> avoided = mInFlight.targetsToAvoid(host, targets);
-            Set<String> unusable = new HashSet<>(avoided);
-            unusable.addAll(wantedTargets);
+            ItemTargets usable = targetsForItems(host, targets, wantedTargets, now);
             Grant grant =
-                    avoidedInVain.contains(avoided)
+                    withoutRoom.contains(usable)
                             ? null
-                            : placeBatchItem(host, targets, unusable, now);
+                            : placeBatchItem(host, targets, usable, now);
             if (grant == null) {
-                avoidedInVain.add(avoided);
+                withoutRoom.add(usable);
                 hostsWithoutTarget.add(host);
             } else {
                 grants.add(grant);
-                mWaitingItems.removeOne(host);
+                mWaitingItems.removeOne(host, now);
             }
             host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
         }
     }
 
+    private ItemTargets targetsForItems(
+            String host, List<TargetInstance> targets, Set<String> wantedTargets, long now) {
+        Set<String> unusable = new HashSet<>(mInFlight.targetsToAvoid(host, targets));
+        unusable.addAll(wantedTargets);
+        boolean waitsForFastTarget =
+                mWaitingItems.waitedNanos(host, now) < MAX_WAIT_FOR_FAST_TARGET_NANOS;
+        return new ItemTargets(
+                unusable, waitsForFastTarget ? MAX_BATCH_SLOWDOWN : Double.MAX_VALUE);
+    }
+
     private @Nullable Grant placeBatchItem(
-            String host, List<TargetInstance> targets, Set<String> unusable, long now) {
+            String host, List<TargetInstance> targets, ItemTargets usableTargets, long now) {
         Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
         Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
-        double maxSlowdown =
-                exceedsFastTargets(targets, slowdowns) ? Double.MAX_VALUE : MAX_BATCH_SLOWDOWN;
+        boolean anySpeed = exceedsFastTargets(targets, slowdowns);
         TargetInstance best = null;
         double leastCost = Double.MAX_VALUE;
         for (TargetInstance target : targets) {
@@ -389,8 +409,7 @@
             if (mLimits.isLimited(target.incarnation())) {
                 cost *= LIMITED_TARGET_ITEM_COST;
             }
-            boolean usable =
-                    hasRoom && slowdown <= maxSlowdown && !unusable.contains(target.incarnation());
+            boolean usable = hasRoom && usableTargets.include(target, anySpeed ? 1 : slowdown);
             if (usable && cost < leastCost) {
                 leastCost = cost;
                 best = target;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/WaitingItemsTable.java
@@ -11,9 +11,14 @@
  * host that has ended cannot use a placement. Not thread-safe.
  */
 final class WaitingItemsTable {
-    private record Waiting(int items, long firstDueAt, long reportedAt) {
-        Waiting withoutOne() {
-            return new Waiting(items - 1, firstDueAt, reportedAt);
+    /**
+     * The items of one host.
+     *
+     * @param waitingSince when the host began to wait, or last got a placement
+     */
+    private record Waiting(int items, long firstDueAt, long reportedAt, long waitingSince) {
+        Waiting withoutOne(long now) {
+            return new Waiting(items - 1, firstDueAt, reportedAt, now);
         }
     }
 
@@ -26,16 +31,24 @@
      */
     void recordReport(String host, int items, long firstDueAt, long now) {
         if (items > 0) {
-            mByHost.put(host, new Waiting(items, firstDueAt, now));
+            Waiting previous = mByHost.get(host);
+            long waitingSince = previous == null ? now : previous.waitingSince();
+            mByHost.put(host, new Waiting(items, firstDueAt, now, waitingSince));
         } else {
             mByHost.remove(host);
         }
     }
 
     /** Removes one item of {@code host}, which was placed. */
-    void removeOne(String host) {
+    void removeOne(String host, long now) {
         mByHost.computeIfPresent(
-                host, (name, waiting) -> waiting.items() > 1 ? waiting.withoutOne() : null);
+                host, (name, waiting) -> waiting.items() > 1 ? waiting.withoutOne(now) : null);
+    }
+
+    /** Returns how long the items of {@code host} have waited for a placement, nanoseconds. */
+    long waitedNanos(String host, long now) {
+        Waiting waiting = mByHost.get(host);
+        return waiting == null ? 0 : now - waiting.waitingSince();
     }
 
     /** Drops the items of the hosts that have not reported for a while. */
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -399,6 +399,20 @@
         assertEquals(List.of("t1"), grants.stream().map(grant -> grant.target().id()).toList());
     }
 
+    /** Guards against items that wait for fast targets which online requests keep full. */
+    @Test
+    void itemsUseSlowTargetsWhenTheFastOnesStayFull() {
+        List<TargetInstance> targets = targets(2);
+        reportEventIntervals(Map.of("t0@1", 45.0, "t1@1", 15.0));
+        int granted = 0;
+        for (long now = 0; now <= 5_000 * MS; now += 250 * MS) {
+            report("online", Map.of("t1@1", SLOTS), Map.of(), Set.of(), now);
+            reportAt("items", 1, 60_000 * MS, now);
+            granted += mCoordinator.placeWaiting(targets, now).size();
+        }
+        assertTrue(granted > 0, "no grant while a target is idle");
+    }
+
     /** Guards against items that wait behind those of a host with no path to the idle targets. */
     @Test
     void itemsDoNotWaitBehindThoseOfAHostThatAvoidsTheIdleTargets() {
