--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -42,6 +42,11 @@
             long deadline,
             Set<String> excluded,
             @Nullable String version) {
+        private boolean mayUse(TargetInstance target) {
+            return (version == null || target.version().equals(version))
+                    && !excluded.contains(target.incarnation());
+        }
+
         /**
          * Returns those of {@code targets} on which a request that continues a stream may go on.
          */
@@ -49,10 +54,7 @@
             if (version == null) {
                 return targets;
             }
-            return targets.stream()
-                    .filter(target -> target.version().equals(version))
-                    .filter(target -> !excluded.contains(target.incarnation()))
-                    .toList();
+            return targets.stream().filter(this::mayUse).toList();
         }
     }
 
@@ -153,6 +155,19 @@
      */
     private static final double MAX_BATCH_SLOWDOWN = 2;
 
+    /**
+     * Time without a placement after which the items of a host take a slow target: online requests
+     * may keep the faster ones full.
+     */
+    private static final long MAX_WAIT_FOR_FAST_TARGET_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Which targets the items of a host may use. */
+    private record ItemTargets(Set<String> unusable, double maxSlowdown) {
+        boolean include(TargetInstance target, double slowdown) {
+            return slowdown <= maxSlowdown && !unusable.contains(target.incarnation());
+        }
+    }
+
     private final TargetRateLimits mLimits;
     private final TargetRequestBuckets mBuckets;
     private final InFlightTable mInFlight = new InFlightTable();
@@ -184,7 +199,7 @@
         }
         mInFlight.recordReport(status.host(), counts, status.failingTargets(), now);
         mSpeeds.recordReport(status.host(), status.eventIntervalsMs());
-        mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt());
+        mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt(), now);
     }
 
     /**
@@ -322,30 +337,60 @@
                 grants.add(grant);
             }
         }
-        if (mQueue.isEmpty()) {
-            placeBatchItems(targets, now, grants);
-        }
+        mWaitingItems.dropExpired(now);
+        placeBatchItems(targets, now, grants);
         return grants;
     }
 
+    /** Returns the incarnations of the targets that a waiting online request may use. */
+    private Set<String> targetsOfQueue(List<TargetInstance> targets) {
+        List<Request> waiting = mQueue.requests();
+        Set<String> wanted = new HashSet<>();
+        for (TargetInstance target : targets) {
+            if (waiting.stream().anyMatch(request -> request.mayUse(target))) {
+                wanted.add(target.incarnation());
+            }
+        }
+        return wanted;
+    }
+
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
-        while (!mWaitingItems.isEmpty()) {
-            String host = mWaitingItems.hostWithFirstDueItem(now);
-            Grant grant = placeBatchItem(host, targets, now);
+        Set<String> wantedTargets = targetsOfQueue(targets);
+        Set<String> hostsWithoutTarget = new HashSet<>();
+        Set<ItemTargets> withoutRoom = new HashSet<>();
+        String host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
+        while (!host.isEmpty()) {
+            ItemTargets usable = targetsForItems(host, targets, wantedTargets, now);
+            Grant grant =
+                    withoutRoom.contains(usable)
+                            ? null
+                            : placeBatchItem(host, targets, usable, now);
             if (grant == null) {
-                return;
+                withoutRoom.add(usable);
+                hostsWithoutTarget.add(host);
+            } else {
+                grants.add(grant);
+                mWaitingItems.removeOne(host, now);
             }
-            grants.add(grant);
-            mWaitingItems.removeOne(host);
+            host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
         }
     }
 
-    private @Nullable Grant placeBatchItem(String host, List<TargetInstance> targets, long now) {
-        Set<String> avoidedTargets = mInFlight.targetsToAvoid(host, targets);
+    private ItemTargets targetsForItems(
+            String host, List<TargetInstance> targets, Set<String> wantedTargets, long now) {
+        Set<String> unusable = new HashSet<>(mInFlight.targetsToAvoid(host, targets));
+        unusable.addAll(wantedTargets);
+        boolean waitsForFastTarget =
+                mWaitingItems.waitedNanos(host, now) < MAX_WAIT_FOR_FAST_TARGET_NANOS;
+        return new ItemTargets(
+                unusable, waitsForFastTarget ? MAX_BATCH_SLOWDOWN : Double.MAX_VALUE);
+    }
+
+    private @Nullable Grant placeBatchItem(
+            String host, List<TargetInstance> targets, ItemTargets usableTargets, long now) {
         Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
         Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
-        double maxSlowdown =
-                exceedsFastTargets(targets, slowdowns) ? Double.MAX_VALUE : MAX_BATCH_SLOWDOWN;
+        boolean anySpeed = exceedsFastTargets(targets, slowdowns);
         TargetInstance best = null;
         double leastCost = Double.MAX_VALUE;
         for (TargetInstance target : targets) {
@@ -353,7 +398,7 @@
                     totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
             int total = count.online() + count.batch();
             boolean hasRoom =
-                    total + SLOTS_RESERVED_FOR_ONLINE < target.slots()
+                    total < target.slotsForBatch(SLOTS_RESERVED_FOR_ONLINE)
                             && mBuckets.mayStart(
                                     target.incarnation(),
                                     WHOLE_LIMIT,
@@ -364,10 +409,7 @@
             if (mLimits.isLimited(target.incarnation())) {
                 cost *= LIMITED_TARGET_ITEM_COST;
             }
-            boolean usable =
-                    hasRoom
-                            && slowdown <= maxSlowdown
-                            && !avoidedTargets.contains(target.incarnation());
+            boolean usable = hasRoom && usableTargets.include(target, anySpeed ? 1 : slowdown);
             if (usable && cost < leastCost) {
                 leastCost = cost;
                 best = target;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -349,4 +349,82 @@
                         .map(ServiceCoordinator.Grant::host)
                         .toList());
     }
+
+    private void reportAt(String host, int waitingItems, long firstDueAt, long now) {
+        mCoordinator.recordReport(
+                new ServiceCoordinator.HostStatus(
+                        host, Map.of(), Map.of(), Set.of(), Map.of(), waitingItems, firstDueAt),
+                now);
+    }
+
+    /** Guards against grants to a host that ended, which keep slots from the items of others. */
+    @Test
+    void itemsDoNotWaitBehindThoseOfAHostThatEnded() {
+        List<TargetInstance> targets = targets(1);
+        reportAt("ended", 60, 60_000 * MS, 0);
+        for (long now = 0; now <= 2_000 * MS; now += 25 * MS) {
+            mCoordinator.placeWaiting(targets, now);
+        }
+        List<String> hosts = new ArrayList<>();
+        for (long now = 2_000 * MS; now <= 5_000 * MS; now += 25 * MS) {
+            if (now % (500 * MS) == 0) {
+                reportAt("alive", 1, 90_000 * MS, now);
+            }
+            mCoordinator.placeWaiting(targets, now).forEach(grant -> hosts.add(grant.host()));
+        }
+        assertTrue(hosts.contains("alive"), "grants: " + hosts);
+    }
+
+    private static TargetInstance targetWithSlots(int slots) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1_000);
+        return new TargetInstance("t0", 1, "s", "v1", address, "a", slots, TargetState.READY, 0);
+    }
+
+    /** Guards against items that wait for good because the only slot of a target is reserved. */
+    @Test
+    void itemRunsAtATargetWithOneSlot() {
+        List<TargetInstance> targets = List.of(targetWithSlots(1));
+        reportWaitingItems("host", 2, 0);
+        assertEquals(1, mCoordinator.placeWaiting(targets, 0).size());
+    }
+
+    /** Guards against items that wait for a request which may not use the idle targets. */
+    @Test
+    void itemsUseTargetsThatNoWaitingRequestMayUse() {
+        List<TargetInstance> targets = targetsOf("old", "new");
+        report("host", Map.of("t0@1", SLOTS + 1), Map.of());
+        reportAt("items", 1, 0, 0);
+        assertNull(requestVersion("r", "old", Set.of(), targets).grant());
+        List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
+        assertEquals(List.of("t1"), grants.stream().map(grant -> grant.target().id()).toList());
+    }
+
+    /** Guards against items that wait for fast targets which online requests keep full. */
+    @Test
+    void itemsUseSlowTargetsWhenTheFastOnesStayFull() {
+        List<TargetInstance> targets = targets(2);
+        reportEventIntervals(Map.of("t0@1", 45.0, "t1@1", 15.0));
+        int granted = 0;
+        for (long now = 0; now <= 5_000 * MS; now += 250 * MS) {
+            report("online", Map.of("t1@1", SLOTS), Map.of(), Set.of(), now);
+            reportAt("items", 1, 60_000 * MS, now);
+            granted += mCoordinator.placeWaiting(targets, now).size();
+        }
+        assertTrue(granted > 0, "no grant while a target is idle");
+    }
+
+    /** Guards against items that wait behind those of a host with no path to the idle targets. */
+    @Test
+    void itemsDoNotWaitBehindThoseOfAHostThatAvoidsTheIdleTargets() {
+        List<TargetInstance> targets = targets(2);
+        report("online", Map.of("t1@1", SLOTS), Map.of());
+        mCoordinator.recordReport(
+                new ServiceCoordinator.HostStatus(
+                        "cut-off", Map.of(), Map.of(), Set.of("t0@1"), Map.of(), 1, 1_500 * MS),
+                0);
+        reportWaitingItems("items", 1, 2_000 * MS);
+        List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
+        assertEquals(
+                List.of("items"), grants.stream().map(ServiceCoordinator.Grant::host).toList());
+    }
 }
