Show the open item that nothing has worked on for longest

A job that did not end left no line that said why: an item that is held back is skipped silently, so the logs of a fleet could not tell a quarantine from a missing target, a job without an owner or a result that the store did not take.

Each host now measures the age of its oldest idle item, and writes one line a second with its id, job, hold and next check once that age passes 10 s. Holds that depend on the prompt are found through ItemHold.Finder; JobRunner passes one that finds none.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
@@ -152,6 +153,30 @@
         return item.mState == State.OPEN && !isBackingOff;
     }
 
+    /**
+     * Records that no item runs.
+     *
+     * @param now reading of the monotonic clock, nanoseconds
+     */
+    public void recordLoaded(long now) {
+        mItems.forEach(item -> item.mReopenedAt = now);
+    }
+
+    /**
+     * Returns since when an item waits for a run, a reading of the monotonic clock in nanoseconds;
+     * empty while it runs and when it is final.
+     */
+    public OptionalLong waitingSince(int index) {
+        Item item = mItems.get(index);
+        return item.mState == State.OPEN ? OptionalLong.of(item.mReopenedAt) : OptionalLong.empty();
+    }
+
+    /** Returns the time for which a waiting item backs off, nanoseconds; 0 when it can run. */
+    public long backOffNanos(int index, long now) {
+        Item item = mItems.get(index);
+        return item.mBackingOff ? Math.max(0, item.mRetryAt - now) : 0;
+    }
+
     /** Returns the number of items that are waiting and can run now. */
     public int runnableItems(long now) {
         return (int) mItems.stream().filter(item -> canRun(item, now)).count();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -30,14 +30,20 @@
  */
 public final class JobRunner implements AutoCloseable, BatchWork {
     private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
-    private static final long ADVANCE_INTERVAL_MS = 50;
+
+    /** Interval at which waiting items are offered to targets. */
+    static final long ADVANCE_INTERVAL_MS = 50;
+
     private static final long PUBLISH_CHECK_INTERVAL_MS = 250;
-    private static final long CLAIM_INTERVAL_MS = 400;
+
+    /** Interval at which jobs that no process runs are looked for. */
+    static final long CLAIM_INTERVAL_MS = 400;
 
     /** Time for which a job's route has to be missing before the job's items fail. */
     private static final long ROUTE_REMOVAL_GRACE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
     private static final long CLEAN_INTERVAL_MS = 5_000;
+    private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
     /** Slots of a target that batch items leave free for online requests that arrive meanwhile. */
     private static final int RESERVED_SLOTS = 1;
@@ -57,6 +63,7 @@
     private final ItemRunTimes mRunTimes = new ItemRunTimes();
     private final ResultPublisher mPublisher;
     private final JobClaimer mClaimer;
+    private final IdleItemMonitor mIdleItemMonitor;
     private final List<Long> mTimers = new ArrayList<>();
     private Runnable mOnItemsWaiting = () -> {};
     private boolean mStopping;
@@ -79,6 +86,8 @@
         mRetentionMs = retentionMs;
         mPublisher = new ResultPublisher(context, storage, index, lease, mOwnedJobs);
         mClaimer = new JobClaimer(context, storage, index, lease, mOwnedJobs, this::add);
+        mIdleItemMonitor =
+                new IdleItemMonitor(context, index, lease, mOwnedJobs, (job, item) -> null);
     }
 
     /**
@@ -92,6 +101,7 @@
         schedulePeriodic(ADVANCE_INTERVAL_MS, this::advanceJobs);
         schedulePeriodic(PUBLISH_CHECK_INTERVAL_MS, this::publishDueResults);
         schedulePeriodic(CLAIM_INTERVAL_MS, mClaimer::claimJobs);
+        schedulePeriodic(IDLE_CHECK_INTERVAL_MS, mIdleItemMonitor::check);
         schedulePeriodic(
                 CLEAN_INTERVAL_MS,
                 new JobCleaner(mStorage, mIndex, mLease, mRetentionMs)::removeExpired);
@@ -111,6 +121,16 @@
         return mOwnedJobs.all().stream().mapToInt(job -> job.runs().size()).sum();
     }
 
+    /** Returns for how long nothing has worked on the oldest idle item, seconds; 0 for none. */
+    public double oldestIdleItemSeconds() {
+        return mIdleItemMonitor.oldestSeconds();
+    }
+
+    /** Returns the item that nothing has worked on for the longest time, or null. */
+    IdleItemMonitor.@Nullable IdleItem oldestIdleItem() {
+        return mIdleItemMonitor.findOldest();
+    }
+
     /** Returns a job that this host owns, or null. */
     @Nullable OwnedJob ownedJob(String jobId) {
         return mOwnedJobs.get(jobId);
@@ -132,7 +152,9 @@
 
     /** Adds a job that this host has just accepted, or has loaded after a claim. */
     void add(OwnedJob job) {
-        job.setLastPublicationNanos(mContext.ticker().nanoTime());
+        long now = mContext.ticker().nanoTime();
+        job.setLastPublicationNanos(now);
+        job.progress().recordLoaded(now);
         mOwnedJobs.add(job);
         // The index may have received a cancellation or a later owner before the store's reply.
         onJobChange(job.id());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ResultPublisher.java
@@ -21,7 +21,9 @@
  */
 final class ResultPublisher {
     private static final Logger LOG = LoggerFactory.getLogger(ResultPublisher.class);
-    private static final long RETRY_DELAY_MS = 300;
+
+    /** Delay before a write of unknown outcome is sent again. */
+    static final long RETRY_DELAY_MS = 300;
 
     /**
      * Fraction of a route's limit of queued tokens by which a job's open tokens have to fall before
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -429,6 +429,10 @@
         mMetrics.gauge("sesamepin_jobs_owned", "Jobs owned.", mJobRunner::ownedJobCount);
         mMetrics.gauge(
                 "sesamepin_items_running", "Batch items that run.", mJobRunner::runningItemCount);
+        mMetrics.gauge(
+                "sesamepin_oldest_idle_item_seconds",
+                "Time for which nothing has worked on the open item that has waited longest.",
+                mJobRunner::oldestIdleItemSeconds);
     }
 
     private void onStoreUnresponsive() {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.serving.ConnectionLimits;
 import org.sesamepin.core.serving.RouteKind;
@@ -109,6 +110,11 @@
         return mRunner.ownedJob(jobId) != null;
     }
 
+    /** Returns the item that nothing has worked on for the longest time, or null. */
+    IdleItemMonitor.@Nullable IdleItem oldestIdleItem() {
+        return mRunner.oldestIdleItem();
+    }
+
     /** Completes an item of a job that this host runs. */
     void complete(String jobId, int index, String output) {
         OwnedJob job = mRunner.ownedJob(jobId);
@@ -128,8 +134,13 @@
 
     /** Returns a route for jobs of which customers may have {@code maxQueuedTokens} queued. */
     static ServingRoute batchRoute(long maxQueuedTokens) {
+        return batchRoute("r", maxQueuedTokens);
+    }
+
+    /** Returns a route for jobs of which customers may have {@code maxQueuedTokens} queued. */
+    static ServingRoute batchRoute(String name, long maxQueuedTokens) {
         return new ServingRoute(
-                "r",
+                name,
                 "h",
                 "/b/",
                 RouteKind.BATCH,
