Remove a cancellation that is left when a job with its id is accepted

Callers saw: 202 for a job of which no item ever ran. A cancellation is written unconditionally, so a write that the store carries out late, or one that crosses the removal of the expired job, leaves a mark without a job. A job that is later accepted under the same id is taken for cancelled: its owner drops it at once and no host claims it.

The acceptance now deletes the mark in the transaction that creates the job, whose condition is that there is no such job, so it can't undo a cancellation of its own. The host may still know the mark and drop the job; it is claimed once the watch has told of the deletion. A cancellation that is carried out after the acceptance still ends the job; that is open.

jobRunsThoughACancellationIsLeftFromAnEarlierOneWithItsId failed before, after 8 s, and passes.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -39,7 +39,7 @@
     record StoredResults(List<JobResult> results, int segments, Map<String, Integer> failures) {}
 
     /** Entries of a transaction that accepts a job, beside the parts of its items. */
-    private static final int ACCEPT_ENTRIES = 5;
+    private static final int ACCEPT_ENTRIES = 6;
 
     private final WatchableStore mStore;
     private final int mMaxValueBytes;
@@ -88,7 +88,8 @@
 
     /**
      * Stores a new job together with its owner, unless the job exists or another job of the
-     * customer was accepted on the route meanwhile.
+     * customer was accepted on the route meanwhile. Removes a cancellation that is left from an
+     * earlier job with the same id.
      *
      * @param counterRevision revision of the counter of jobs accepted for the customer on the
      *     route; 0 when there is none
@@ -109,7 +110,8 @@
                         .ifUnchanged(counter, counterRevision)
                         .put(counter, jobId)
                         .put(ServingKeys.job(jobId), JobCodec.encodeSummary(summary), 0)
-                        .put(ServingKeys.owner(jobId), owner, lease);
+                        .put(ServingKeys.owner(jobId), owner, lease)
+                        .delete(ServingKeys.cancellation(jobId));
         itemParts(jobId, items).forEach(part -> accept.put(part.key(), part.value(), 0));
         return mStore.commit(accept);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
@@ -157,6 +157,17 @@
         assertFalse(read(() -> host.runs("job")));
     }
 
+    /** A cancellation that was stored for an earlier job must not keep a new one from running. */
+    @Test
+    void jobRunsThoughACancellationIsLeftFromAnEarlierOneWithItsId() throws Exception {
+        MemoryStore store = new MemoryStore();
+        runOnEventLoop(() -> new JobStorage(store, JobHost.MAX_VALUE_BYTES).markCancelled("job"));
+        JobHost host = startHost(store, "a");
+        awaitTrue("the host is registered", () -> !host.index().hosts().isEmpty());
+        assertEquals(Acceptance.ACCEPTED, accept(host, "job"));
+        awaitTrue("the host runs the job", () -> host.runs("job"));
+    }
+
     /**
      * Whatever becomes of the writes by which three hosts accept and claim jobs, exactly one host
      * runs each stored job once the store is calm. Guards against jobs that no host runs, or two.
