Remove only the expired job for which the removal was decided

Callers could lose a job accepted under the id of one that had expired: the removal deleted by key alone, so a removal that the store carries out late, or that a host with an old index sends, deleted the new job with its items.

Each transaction of a removal now requires the job's key to be at the revision by which the removal was decided. ValueSizeTest passes that revision, as the cleaner does; what it checks is unchanged.

jobIsKeptWhenTheRemovalOfAnEarlierOneWithItsIdTakesEffectLate failed before (the new job's key was gone) and passes.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCleaner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobCleaner.java
@@ -46,7 +46,7 @@
     }
 
     private void remove(String jobId) {
-        mStorage.remove(jobId)
+        mStorage.remove(jobId, mIndex.summaryRevision(jobId))
                 .onSuccess(v -> LOG.info("step=job job={} outcome=removed", jobId))
                 .onFailure(
                         e ->
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -26,8 +26,11 @@
     /** Comparisons, writes and deletions that the store takes in one transaction. */
     private static final int MAX_TRANSACTION_ENTRIES = 32;
 
-    /** Entries of a job's content that are removed at once, beside the job and its cancellation. */
-    private static final int MAX_REMOVED_ENTRIES = MAX_TRANSACTION_ENTRIES - 2;
+    /** Entries of a removal beside the job's content: the condition, the job, its cancellation. */
+    private static final int REMOVAL_ENTRIES = 3;
+
+    /** Entries of a job's content that are removed at once. */
+    private static final int MAX_REMOVED_ENTRIES = MAX_TRANSACTION_ENTRIES - REMOVAL_ENTRIES;
 
     /**
      * All results of a job that are in the store.
@@ -234,22 +237,36 @@
 
     /**
      * Removes a job whose results no longer have to be readable, with its items and results. The
-     * job's own key goes last, so that an interrupted removal is found and repeated.
+     * job's own key goes last, so that an interrupted removal is found and repeated. Fails when the
+     * job is not the one that the removal was decided for, but a later one with the same id.
+     *
+     * @param summaryRevision revision of the summary by which the removal was decided
      */
-    Future<Void> remove(String jobId) {
+    Future<Void> remove(String jobId, long summaryRevision) {
         return mStore.list(ServingKeys.contentPrefix(jobId))
-                .compose(listing -> removeContent(jobId, listing.entries()));
+                .compose(listing -> removeContent(jobId, summaryRevision, listing.entries()));
     }
 
-    private Future<Void> removeContent(String jobId, List<StoreEntry> content) {
-        StoreTransaction remove = new StoreTransaction();
+    private Future<Void> removeContent(
+            String jobId, long summaryRevision, List<StoreEntry> content) {
+        StoreTransaction remove =
+                new StoreTransaction().ifUnchanged(ServingKeys.job(jobId), summaryRevision);
         int count = Math.min(content.size(), MAX_REMOVED_ENTRIES);
         content.subList(0, count).forEach(entry -> remove.delete(entry.key()));
         if (count == content.size()) {
             remove.delete(ServingKeys.job(jobId)).delete(ServingKeys.cancellation(jobId));
-            return mStore.commit(remove).mapEmpty();
+            return commitRemoval(remove);
         }
+        List<StoreEntry> rest = content.subList(count, content.size());
+        return commitRemoval(remove).compose(done -> removeContent(jobId, summaryRevision, rest));
+    }
+
+    private Future<Void> commitRemoval(StoreTransaction remove) {
         return mStore.commit(remove)
-                .compose(done -> removeContent(jobId, content.subList(count, content.size())));
+                .compose(
+                        result ->
+                                result.committed()
+                                        ? Future.succeededFuture()
+                                        : Future.failedFuture("the job was replaced or removed"));
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobOwnershipTest.java
@@ -168,6 +168,29 @@
         awaitTrue("the host runs the job", () -> host.runs("job"));
     }
 
+    /** The removal of an expired job that takes effect late must not remove a new one. */
+    @Test
+    void jobIsKeptWhenTheRemovalOfAnEarlierOneWithItsIdTakesEffectLate() throws Exception {
+        MemoryStore store = new MemoryStore();
+        JobHost host = startHost(store, "a");
+        JobStorage storage = new JobStorage(store, JobHost.MAX_VALUE_BYTES);
+        awaitTrue("the host is registered", () -> !host.index().hosts().isEmpty());
+        assertEquals(Acceptance.ACCEPTED, accept(host, "job"));
+        runOnEventLoop(() -> storage.markCancelled("job"));
+        long revision = read(() -> host.index().summaryRevision("job"));
+        store.injectFaults(Fault.LATE);
+        runOnEventLoop(() -> storage.remove("job", revision).otherwiseEmpty());
+        runOnEventLoop(() -> storage.remove("job", revision));
+        assertEquals(Acceptance.ACCEPTED, accept(host, "job"));
+        read(
+                () -> {
+                    store.applyLateWrites();
+                    return null;
+                });
+        assertEquals(1, read(() -> store.countKeys(ServingKeys.job("job"))));
+        awaitTrue("the host runs the job", () -> host.runs("job"));
+    }
+
     /**
      * Whatever becomes of the writes by which three hosts accept and claim jobs, exactly one host
      * runs each stored job once the store is calm. Guards against jobs that no host runs, or two.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/ValueSizeTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/ValueSizeTest.java
@@ -226,8 +226,8 @@
             content.put(ServingKeys.segment("old", i), "{}");
         }
         content.put(ServingKeys.job("old"), "{}");
-        runOnEventLoop(() -> mStore.commit(content));
-        runOnEventLoop(() -> new JobStorage(mStore, MAX_VALUE_BYTES).remove("old"));
+        long revision = runOnEventLoop(() -> mStore.commit(content)).revision();
+        runOnEventLoop(() -> new JobStorage(mStore, MAX_VALUE_BYTES).remove("old", revision));
         assertEquals(0, read(() -> mStore.countKeys(ServingKeys.contentPrefix("old"))));
         assertEquals(0, read(() -> mStore.countKeys(ServingKeys.job("old"))));
     }
