Free the place of a read that throws before it begins

A call that threw kept its place in the limit of concurrent reads, so that after four of them a host could load no claimed job. Found by reading; no such throw was seen in a log. callThatThrowsFreesItsPlace failed before and passes.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CallLimiter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CallLimiter.java
@@ -44,7 +44,7 @@
 
     private <T> Future<T> run(Supplier<Future<T>> call) {
         mRunning++;
-        return call.get().onComplete(done -> onEnd());
+        return Future.succeededFuture().compose(v -> call.get()).onComplete(done -> onEnd());
     }
 
     private void onEnd() {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CallLimiterTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CallLimiterTest.java
@@ -50,4 +50,19 @@
         assertTrue(mResults.get(5).failed());
         assertEquals(2, mRunning.size());
     }
+
+    /** Calls that fail before they have begun must not keep others from running. */
+    @Test
+    void callThatThrowsFreesItsPlace() {
+        for (int i = 0; i < 3; i++) {
+            Future<Integer> failed =
+                    mLimiter.call(
+                            () -> {
+                                throw new IllegalStateException("scripted");
+                            });
+            assertTrue(failed.failed());
+        }
+        call();
+        assertEquals(1, mRunning.size());
+    }
 }
