End the run of an item at a target that exceeds its budget

Callers saw no result of an item, and no end of its job, while its target sent bytes without completing the item: the 20 s budget of a run was only told to the target, and each byte renewed the limit of silence, so the run never ended.

The owner now interrupts a run 1 s after its budget; the item goes on after its last event, at another target if there is one, as after any interruption. Ruled out as bounds: the size of an event, which slow bytes reach late.

itemIsDoneThoughItsTargetSendsBytesWithoutEnd failed before, after 25 s, and passes.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -25,6 +25,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(ItemRun.class);
     private static final long ITEM_BUDGET_MS = TimeUnit.SECONDS.toMillis(20);
     private static final long MAX_SILENCE_MS = 2_000;
+
+    /** Time beyond the budget in which the end that the target makes of a run may arrive. */
+    private static final long BUDGET_MARGIN_MS = 1_000;
+
+    private static final long NO_TIMER = -1;
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int UNPROCESSABLE_CONTENT = 422;
     private static final String DATA_FIELD = "data:";
@@ -39,6 +44,7 @@
     private final TargetAttempt mAttempt;
     private final String mPromptLabel;
     private final long mResumeAfter;
+    private long mBudgetTimer = NO_TIMER;
 
     /** Creates a run; {@code onEnd} is called when it ends, unless by {@link #suspend}. */
     ItemRun(
@@ -125,12 +131,16 @@
                 mResumeAfter,
                 progress().lastEventId(mIndex),
                 mContext.state().config().version());
+        mBudgetTimer =
+                mContext.vertx()
+                        .setTimer(ITEM_BUDGET_MS + BUDGET_MARGIN_MS, t -> mAttempt.interrupt());
         mAttempt.start();
     }
 
     /** Cancels the run; the item stays open and can resume after its last event. */
     void suspend() {
         mAttempt.cancel();
+        mContext.vertx().cancelTimer(mBudgetTimer);
         mJob.runs().remove(mIndex);
         progress().recordSuspension(mIndex, mContext.ticker().nanoTime());
         mContext.metrics().countItem("suspended");
@@ -215,6 +225,7 @@
     }
 
     private void finish(String outcome, String cause) {
+        mContext.vertx().cancelTimer(mBudgetTimer);
         mJob.runs().remove(mIndex);
         mContext.metrics().countItem(outcome);
         LOG.info(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -396,6 +396,11 @@
         mListener.onInterrupted(reason);
     }
 
+    /** Ends the attempt as interrupted, because the target has exceeded its budget. */
+    public void interrupt() {
+        endInterrupted("not complete within " + mPlan.budgetMs() + " ms");
+    }
+
     /**
      * Ends the attempt without notifying the listener. The target drops the request when its
      * connection closes.
