Let another item probe a quarantine after one that lost its target

Callers would see all items of a job wait while one of them is the cause of the ends.

Cause: a probe was claimed for the first item in the order of the job, the one with the most progress. When that item's own content ends its targets, it was the probe each time. Its ends count as explained by the part in quarantine, so the item itself is never identified, and the sound items with the part are never sent.

Fix: an item waits 2 s longer per target that was lost under it as a probe, at most 10 s, so that another one, which is looked at each second, is claimed first. Its answer lifts the quarantine, and the next ends speak against the item alone.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -12,6 +12,12 @@
  * host that has such an item may claim the next probe, for all hosts. Not thread-safe.
  */
 public final class ItemProbes {
+    /** Additional wait of an item for each target that was lost under it when it was the probe. */
+    private static final long LOST_PROBE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Number of lost targets from which on the additional wait of an item stays the same. */
+    private static final int MAX_LOST_PROBES = 5;
+
     /** The number of claims of a quarantine, and when this host learned of the last one. */
     private record Seen(int claims, long atNanos) {}
 
@@ -20,6 +26,9 @@
     /** The items of this host that were sent as probes, with the numbers of their claims. */
     private final Map<Suspect, Map<String, Integer>> mProbes = new HashMap<>();
 
+    /** How many targets were lost under the items of this host that were sent as probes. */
+    private final Map<Suspect, Map<String, Integer>> mLostProbes = new HashMap<>();
+
     /** Records an entry in force, whichever host claimed its last probe. */
     public void recordEntry(PromptQuarantine.Entry entry, long nowNanos) {
         Seen seen = mSeen.get(entry.suspect());
@@ -29,14 +38,23 @@
     }
 
     /**
-     * Returns whether the next probe may be claimed. The time since this host learned of the last
-     * claim counts as well, since the clock of the host that claimed it may be ahead.
+     * Returns whether the next probe may be claimed for an item. One under which targets were lost
+     * leaves the first claim to others, since its own content may be what ends them. The time since
+     * this host learned of the last claim counts as well, since the clock of the host that claimed
+     * it may be ahead.
      */
-    public boolean isDue(PromptQuarantine.Entry entry, long nowMs, long nowNanos) {
+    public boolean isDue(PromptQuarantine.Entry entry, String itemId, long nowMs, long nowNanos) {
         Seen seen = mSeen.get(entry.suspect());
-        long waitNanos = TimeUnit.MILLISECONDS.toNanos(entry.itemWaitMs());
+        long lostWaitNanos = lostWaitNanos(entry.suspect(), itemId);
+        long waitNanos = TimeUnit.MILLISECONDS.toNanos(entry.itemWaitMs()) + lostWaitNanos;
         boolean waited = seen != null && nowNanos - seen.atNanos() >= waitNanos;
-        return waited || nowMs >= entry.nextItemProbeMs();
+        long lostWaitMs = TimeUnit.NANOSECONDS.toMillis(lostWaitNanos);
+        return waited || nowMs >= entry.nextItemProbeMs() + lostWaitMs;
+    }
+
+    private long lostWaitNanos(Suspect suspect, String itemId) {
+        int lost = mLostProbes.getOrDefault(suspect, Map.of()).getOrDefault(itemId, 0);
+        return Math.min(MAX_LOST_PROBES, lost) * LOST_PROBE_WAIT_NANOS;
     }
 
     /** Records that this host has claimed the probe of {@code entry} for an item. */
@@ -59,8 +77,10 @@
     /** Ends the probe with an item whose target was lost. */
     public void end(Suspect suspect, String itemId) {
         Map<String, Integer> probes = mProbes.get(suspect);
-        if (probes != null) {
-            probes.remove(itemId);
+        if (probes != null && probes.remove(itemId) != null) {
+            mLostProbes
+                    .computeIfAbsent(suspect, s -> new HashMap<>())
+                    .merge(itemId, 1, Integer::sum);
         }
     }
 
@@ -68,5 +88,6 @@
     public void retain(Predicate<Suspect> isInForce) {
         mSeen.keySet().removeIf(isInForce.negate());
         mProbes.keySet().removeIf(isInForce.negate());
+        mLostProbes.keySet().removeIf(isInForce.negate());
     }
 }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ItemProbeFleetTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ItemProbeFleetTest.java
@@ -101,7 +101,8 @@
             return;
         }
         long clockMs = nowMs + host.mClockErrorMs;
-        if (!host.mProbes.isDue(entry, clockMs, TimeUnit.MILLISECONDS.toNanos(nowMs))) {
+        long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+        if (!host.mProbes.isDue(entry, host.mItem, clockMs, nowNanos)) {
             return;
         }
         mStored = mStored.mergedWith(entry.withItemClaim(clockMs));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -142,7 +142,7 @@
             if (mayPass(entry, itemId, itemId, nowMs)) {
                 continue;
             }
-            if (entry.suspect().isSingleItem() || !isClaimable(entry, nowMs)) {
+            if (entry.suspect().isSingleItem() || !isClaimable(entry, itemId, nowMs)) {
                 return;
             }
             toClaim.add(entry);
@@ -150,8 +150,8 @@
         toClaim.forEach(entry -> claim(entry.withItemClaim(nowMs), itemId));
     }
 
-    private boolean isClaimable(PromptQuarantine.Entry entry, long nowMs) {
-        return mItemProbes.isDue(entry, nowMs, mTicker.nanoTime())
+    private boolean isClaimable(PromptQuarantine.Entry entry, String itemId, long nowMs) {
+        return mItemProbes.isDue(entry, itemId, nowMs, mTicker.nanoTime())
                 && !mClaiming.contains(entry.suspect());
     }
 
