Name the quarantine that holds an idle item back

The monitor of idle items reported a held item as waiting for a slot. It now names the parts in quarantine and the time until the next probe, without starting one, so that the log tells a hold for a prompt from a missing slot or target. Run: IdleItemMonitorTest and the tests of the packages prompt and job that the change touches; all pass.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -60,6 +60,13 @@
             return new Entry(suspect, nowMs, nowMs + durationMs);
         }
 
+        /**
+         * Returns when an item that is held back may be sent, milliseconds since the Unix epoch.
+         */
+        public long itemHeldUntilMs() {
+            return suspect.isSingleItem() ? untilMs : nextItemProbeMs;
+        }
+
         /** Returns the entry after a probe that ended another target. */
         Entry prolonged(long nowMs) {
             long maxMs = suspect.isSingleItem() ? MAX_ITEM_WAIT_MS : MAX_DURATION_MS;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -13,6 +13,7 @@
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.PublishSchedule;
 import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.serving.ServiceShare;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.serving.TargetSoftware;
@@ -87,7 +88,7 @@
         mPublisher = new ResultPublisher(context, storage, index, lease, mOwnedJobs);
         mClaimer = new JobClaimer(context, storage, index, lease, mOwnedJobs, this::add);
         mIdleItemMonitor =
-                new IdleItemMonitor(context, index, lease, mOwnedJobs, (job, item) -> null);
+                new IdleItemMonitor(context, index, lease, mOwnedJobs, this::quarantineOf);
     }
 
     /**
@@ -277,6 +278,23 @@
         return mContext.promptGuard().blocking(service, prompt, item.id()) != null;
     }
 
+    private @Nullable ItemHold quarantineOf(OwnedJob job, int index) {
+        ServingRoute route = mContext.state().config().routeByName(job.summary().route());
+        if (route == null) {
+            return null;
+        }
+        PromptParts prompt = ItemRun.promptOf(mContext, job.progress().item(index));
+        for (ServiceShare share : route.shares()) {
+            PromptQuarantine.Entry entry = mContext.promptGuard().holding(share.service(), prompt);
+            if (entry != null) {
+                long waitMs = entry.itemHeldUntilMs() - System.currentTimeMillis();
+                String name = "quarantine:" + entry.suspect().label();
+                return new ItemHold(name, Math.max(0, waitMs));
+            }
+        }
+        return null;
+    }
+
     private void startRun(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
         new ItemRun(mContext, job, index, route, target, mRunTimes, () -> onRunEnd(job)).start();
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -119,6 +119,18 @@
         return null;
     }
 
+    /** Returns the quarantine that holds an item back, or null; starts no probe. */
+    public PromptQuarantine.@Nullable Entry holding(String service, PromptParts prompt) {
+        String itemId = prompt.itemId();
+        long nowMs = System.currentTimeMillis();
+        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
+            if (!mayPass(entry, itemId, itemId, nowMs)) {
+                return entry;
+            }
+        }
+        return null;
+    }
+
     private boolean mayPass(
             PromptQuarantine.Entry entry, String itemId, String requestId, long nowMs) {
         Suspect suspect = entry.suspect();
