Place items whose coordinator grants nothing

What callers saw: accepted items are never run while targets are idle, as long as the network between two hosts is cut and a third host reaches both. Cause: hosts that reach different peers name different coordinators of a service. The host that is named then takes another for the coordinator and grants nothing to the items of the first; online requests are answered there all the same, but items only ever ran with a grant. Evidence: itemsOfAHostThatIsCutOffFromTheCoordinatorRun failed before (the item is open seven seconds after its submission, no step=place) and passes now (one step=place ... outcome=item-without-grant). The fix: after four seconds without a grant, a host starts its items at targets that have a slot free beside those that the coordinator may give out, one every 250 ms until a grant comes. It does not use targets with a limit, and does not do so in fleets in which a host does not know the loads of all targets.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -20,6 +20,8 @@
 import org.sesamepin.node.peer.generated.PlaceAsk;
 import org.sesamepin.node.peer.generated.PlaceGrant;
 import org.sesamepin.node.peer.generated.SuspendItem;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Places this host's requests on targets. Each service whose targets run only a few requests at
@@ -28,12 +30,16 @@
  * reported. Confined to the event loop.
  */
 public final class PlacementClient {
+    private static final Logger LOG = LoggerFactory.getLogger(PlacementClient.class);
     private static final long PLACEMENT_TIMEOUT_MS = 150;
     private static final long GRANT_WAIT_MS = 400;
 
     /** Requests of all hosts per slot at or above which a target gets no further online request. */
     private static final double MAX_ONLINE_OCCUPANCY = 2.0;
 
+    /** Slots of a target that items without a grant leave to those that the coordinator places. */
+    private static final int COORDINATOR_SLOTS = 1;
+
     private record WaitingRequest(
             PlacementRequest request,
             Promise<PlacementResult> promise,
@@ -49,7 +55,9 @@
     private final ServingMetrics mMetrics;
     private final BatchWork mBatchWork;
     private final CoordinatorLookup mCoordinatorLookup;
+    private final TargetRateLimits mLimits;
     private final TargetLimitShares mLimitShares;
+    private final ItemGrantTimeout mItemGrantTimeout = new ItemGrantTimeout();
     private final PlacementCoordinator mLocalCoordinator;
     private final Map<String, WaitingRequest> mWaitingRequests = new HashMap<>();
 
@@ -75,6 +83,7 @@
         mMetrics = metrics;
         mBatchWork = batchWork;
         mCoordinatorLookup = new CoordinatorLookup(ticker, state, peers);
+        mLimits = limits;
         mLimitShares = new TargetLimitShares(ticker, peers, limits);
         mLocalCoordinator =
                 new PlacementCoordinator(
@@ -261,7 +270,9 @@
             return;
         }
         if (grant.getRequestId().isEmpty()) {
-            mBatchWork.runOne(grant.getServiceName(), target);
+            if (mBatchWork.runOne(grant.getServiceName(), target)) {
+                mItemGrantTimeout.recordGrant(grant.getServiceName());
+            }
             return;
         }
         complete(grant, target);
@@ -300,24 +311,56 @@
 
     /**
      * Returns a target with a free slot for a batch item of a service that no host coordinates, or
-     * null.
+     * whose coordinator has granted nothing for too long; null when there is none, or when the item
+     * has to wait for a grant.
      *
      * @param reservedSlots slots that must stay free in addition to the item's slot
      */
     public @Nullable TargetInstance uncoordinatedTarget(String service, int reservedSlots) {
         if (!mCoordinatorLookup.coordinatorOf(service).isEmpty()) {
-            return null;
+            return targetWithoutGrant(service, reservedSlots + COORDINATOR_SLOTS);
         }
         List<TargetInstance> targets =
                 mLimitShares.available(mState.targets().readyTargets(service));
+        TargetInstance target = selectForBatch(targets, reservedSlots);
+        if (target != null) {
+            mLimitShares.recordStart(target);
+        }
+        return target;
+    }
+
+    /**
+     * Returns a target for an item whose coordinator has granted nothing for too long, or null. It
+     * is never one with a limit, which the coordinator gives out as a whole, and there is none in a
+     * fleet so large that this host does not know the loads of the targets.
+     */
+    private @Nullable TargetInstance targetWithoutGrant(String service, int reservedSlots) {
         long now = mTicker.nanoTime();
-        TargetSelector.Choice choice =
-                mTargetSelector.selectForBatch(targets, Set.of(), reservedSlots, now);
-        if (choice == null) {
+        if (mPeers.isLargeFleet() || !mItemGrantTimeout.isOver(service, now)) {
             return null;
         }
-        mLimitShares.recordStart(choice.target());
-        return choice.target();
+        List<TargetInstance> targets =
+                mState.targets().readyTargets(service).stream()
+                        .filter(target -> !mLimits.isLimited(target.incarnation()))
+                        .toList();
+        TargetInstance target = selectForBatch(targets, reservedSlots);
+        if (target != null) {
+            mItemGrantTimeout.recordPlacement(service, now);
+            LOG.warn(
+                    "step=place service={} coordinator={} target={} outcome=item-without-grant",
+                    service,
+                    mCoordinatorLookup.coordinatorOf(service),
+                    target.incarnation());
+        }
+        return target;
+    }
+
+    private @Nullable TargetInstance selectForBatch(
+            List<TargetInstance> targets, int reservedSlots) {
+        TargetSelector.Choice choice =
+                mTargetSelector.selectForBatch(
+                        targets, Set.of(), reservedSlots, mTicker.nanoTime());
+        return choice == null ? null : choice.target();
     }
 
     private PlacementResult placeLocally(PlacementRequest request, String reason) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/MemoryStore.java
@@ -133,6 +133,14 @@
         }
     }
 
+    /** Ends the lease under which {@code key} is written, if there is one. */
+    public void expireLeaseOf(String key) {
+        Long lease = mLeaseByKey.get(key);
+        if (lease != null) {
+            expireLease(lease);
+        }
+    }
+
     /** Returns the number of transactions that hosts have sent so far. */
     public int commits() {
         return mCommits;
