Hold a part back again although the host's clock is behind its lifted quarantine

Callers would see targets end under a part that was lifted before, for as long as the clock of the host that identifies it is behind the start of the lifted quarantine.

Cause: an entry that is not newer than the lifted one is not added, since it may be an old report. The host that identifies the part again took its own clock for the start. By reading: its review then finds the part again every 50 ms, and logs and announces it each time, for as long as the ends count.

Evidence: aPartThatEndsTargetsAfterALiftIsHeldBackByAHostWithASlowClock failed with the clock alone (expected true but was false), and passes now.

Fix: an entry that a host starts itself is newer than the one that it has lifted.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -134,6 +134,12 @@
         }
     }
 
+    /** Returns the entry of a suspect that was identified now; it is newer than a lifted one. */
+    public Entry newEntry(Suspect suspect, long nowMs) {
+        long lifted = mLiftedSinceMs.getOrDefault(suspect, Long.MIN_VALUE);
+        return Entry.startingAt(suspect, Math.max(nowMs, lifted + 1));
+    }
+
     /** Removes the quarantine of {@code suspect}; returns false when there was none. */
     public boolean lift(Suspect suspect) {
         mProbes.remove(suspect);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
@@ -58,6 +58,15 @@
         assertNull(mQuarantine.blocking("s", BAD));
     }
 
+    /** Guards against a part that ends targets for ever, since a host's clock went back. */
+    @Test
+    void aPartThatEndsTargetsAfterALiftIsHeldBackByAHostWithASlowClock() {
+        mQuarantine.add(PromptQuarantine.Entry.startingAt(SUSPECT, TEN_MINUTES_MS));
+        mQuarantine.lift(SUSPECT);
+        assertTrue(mQuarantine.add(mQuarantine.newEntry(SUSPECT, 0)));
+        assertNotNull(mQuarantine.blocking("s", BAD));
+    }
+
     @Test
     void aProbeThatEndsATargetDoublesTheTime() {
         mQuarantine.add(mEntry);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -236,7 +236,7 @@
         long now = mTicker.nanoTime();
         for (Suspect suspect : mSuspects.findCauses(now, mQuarantine::contains)) {
             PromptQuarantine.Entry entry =
-                    PromptQuarantine.Entry.startingAt(suspect, System.currentTimeMillis());
+                    mQuarantine.newEntry(suspect, System.currentTimeMillis());
             add(entry);
             announce(entry, "started");
         }
