Time the probes of items by each host's own ticker

Targets would end under a bad part more often than the waits allow, while the clock of one host with such items is ahead: it claimed each probe at once after another's claim.

Cause: the next probe was due when the wall clock said so or the host had waited, and a clock that is ahead always says so.

Fix: a host waits from when it learned of the last claim, by its ticker. Only for a quarantine that is new to it, as after a start, it takes the time in the entry, and then between 5 s and the whole wait.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -18,8 +18,8 @@
     /** Number of lost targets from which on the additional wait of an item stays the same. */
     private static final int MAX_LOST_PROBES = 5;
 
-    /** The number of claims of a quarantine, and when this host learned of the last one. */
-    private record Seen(int claims, long atNanos) {}
+    /** The number of claims of a quarantine, and when this host may claim the next probe. */
+    private record Seen(int claims, long dueNanos) {}
 
     private final Map<Suspect, Seen> mSeen = new HashMap<>();
 
@@ -29,27 +29,28 @@
     /** How many targets were lost under the items of this host that were sent as probes. */
     private final Map<Suspect, Map<String, Integer>> mLostProbes = new HashMap<>();
 
-    /** Records an entry in force, whichever host claimed its last probe. */
-    public void recordEntry(PromptQuarantine.Entry entry, long nowNanos) {
+    /**
+     * Records an entry in force, whichever host claimed its last probe. The next one is due a while
+     * after this host learned of that claim, by its own ticker, since the clocks of hosts differ.
+     * Only for an entry that is new to this host it takes the time of the entry, within bounds.
+     */
+    public void recordEntry(PromptQuarantine.Entry entry, long nowMs, long nowNanos) {
         Seen seen = mSeen.get(entry.suspect());
-        if (seen == null || seen.claims() != entry.itemClaims()) {
-            mSeen.put(entry.suspect(), new Seen(entry.itemClaims(), nowNanos));
+        if (seen != null && seen.claims() == entry.itemClaims()) {
+            return;
         }
+        long waitMs = seen == null ? entry.remainingItemWaitMs(nowMs) : entry.itemWaitMs();
+        long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        mSeen.put(entry.suspect(), new Seen(entry.itemClaims(), dueNanos));
     }
 
     /**
      * Returns whether the next probe may be claimed for an item. One under which targets were lost
-     * leaves the first claim to others, since its own content may be what ends them. The time since
-     * this host learned of the last claim counts as well, since the clock of the host that claimed
-     * it may be ahead.
+     * leaves the first claim to others, since its own content may be what ends them.
      */
-    public boolean isDue(PromptQuarantine.Entry entry, String itemId, long nowMs, long nowNanos) {
+    public boolean isDue(PromptQuarantine.Entry entry, String itemId, long nowNanos) {
         Seen seen = mSeen.get(entry.suspect());
-        long lostWaitNanos = lostWaitNanos(entry.suspect(), itemId);
-        long waitNanos = TimeUnit.MILLISECONDS.toNanos(entry.itemWaitMs()) + lostWaitNanos;
-        boolean waited = seen != null && nowNanos - seen.atNanos() >= waitNanos;
-        long lostWaitMs = TimeUnit.NANOSECONDS.toMillis(lostWaitNanos);
-        return waited || nowMs >= entry.nextItemProbeMs() + lostWaitMs;
+        return seen != null && nowNanos - seen.dueNanos() >= lostWaitNanos(entry.suspect(), itemId);
     }
 
     private long lostWaitNanos(Suspect suspect, String itemId) {
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -80,6 +80,15 @@
             return (long) Math.min(MAX_ITEM_WAIT_MS, waitMs);
         }
 
+        /**
+         * Returns the time until the next probe may be claimed, for a host that does not know when
+         * the last one was. As clocks differ, it is never less than that until the first probe.
+         */
+        long remainingItemWaitMs(long nowMs) {
+            long remainingMs = Math.min(itemWaitMs(), nextItemProbeMs - nowMs);
+            return Math.max(FIRST_ITEM_WAIT_MS, remainingMs);
+        }
+
         /**
          * Returns what two entries of the same parts say together, in whichever order they came:
          * the times of the newer one, and the claims of the one with more of them.
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -142,7 +142,7 @@
             if (mayPass(entry, itemId, itemId, nowMs)) {
                 continue;
             }
-            if (entry.suspect().isSingleItem() || !isClaimable(entry, itemId, nowMs)) {
+            if (entry.suspect().isSingleItem() || !isClaimable(entry, itemId)) {
                 return;
             }
             toClaim.add(entry);
@@ -150,8 +150,8 @@
         toClaim.forEach(entry -> claim(entry.withItemClaim(nowMs), itemId));
     }
 
-    private boolean isClaimable(PromptQuarantine.Entry entry, String itemId, long nowMs) {
-        return mItemProbes.isDue(entry, itemId, nowMs, mTicker.nanoTime())
+    private boolean isClaimable(PromptQuarantine.Entry entry, String itemId) {
+        return mItemProbes.isDue(entry, itemId, mTicker.nanoTime())
                 && !mClaiming.contains(entry.suspect());
     }
 
@@ -251,7 +251,7 @@
         boolean added = mQuarantine.add(entry);
         if (added) {
             mItemProbes.retain(mQuarantine::contains);
-            mItemProbes.recordEntry(entry, mTicker.nanoTime());
+            mItemProbes.recordEntry(entry, System.currentTimeMillis(), mTicker.nanoTime());
         }
         return added;
     }
