--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -87,6 +87,15 @@
             return (long) Math.min(MAX_ITEM_WAIT_MS, waitMs);
         }
 
+        /**
+         * Returns the time until the next probe may be claimed, for a host that does not know when
+         * the last one was. As clocks differ, it is never less than that until the first probe.
+         */
+        long remainingItemWaitMs(long nowMs) {
+            long remainingMs = Math.min(itemWaitMs(), nextItemProbeMs - nowMs);
+            return Math.max(FIRST_ITEM_WAIT_MS, remainingMs);
+        }
+
         /**
          * Returns what two entries of the same parts say together, in whichever order they came:
          * the times of the newer one, and the claims of the one with more of them.
@@ -141,6 +150,12 @@
         }
     }
 
+    /** Returns the entry of a suspect that was identified now; it is newer than a lifted one. */
+    public Entry newEntry(Suspect suspect, long nowMs) {
+        long lifted = mLiftedSinceMs.getOrDefault(suspect, Long.MIN_VALUE);
+        return Entry.startingAt(suspect, Math.max(nowMs, lifted + 1));
+    }
+
     /** Removes the quarantine of {@code suspect}; returns false when there was none. */
     public boolean lift(Suspect suspect) {
         mProbes.remove(suspect);
