Keep the statement of a version that another host has just written anew

In tests, a stream of a version that had returned could find one stated version, another one, and go on there.

Cause: the host that removes old statements decides by its own view of the targets, but takes the statement's revision from the listing of the same moment. When its view is seconds old (its process stood still, or its watch was silent) while the version returns, other hosts have written the statement anew, and it removes the new one under the new revision. They hold it for stated and don't write it again.

Ruled out: hosts out of step while a version first joins. Simulated with a paused process, a silent watch and a store out of reach: no stream is joined or begun without a statement, with and without this change.

Change: a statement is removed only when its revision is at least half of the retention old for the host that removes it. A host that sees a version return after a longer absence writes it anew, so its targets are in the view by then, or the revision is younger.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
@@ -55,9 +55,9 @@
         return mVersions.unstated();
     }
 
-    /** Records that the store has confirmed a statement. */
-    public void recordStated(TargetSoftware version, long now) {
-        mVersions.recordStated(version, now);
+    /** Records that the store has confirmed a statement, written at {@code revision}. */
+    public void recordStated(TargetSoftware version, long revision, long now) {
+        mVersions.recordStated(version, revision, now);
         recordGroupsWithSeveral();
     }
 
--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/StoredOrigins.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/StoredOrigins.java
@@ -2,10 +2,8 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.serving.TargetSoftware;
 
@@ -14,15 +12,19 @@
  * thread-safe.
  */
 public final class StoredOrigins {
-    private final Set<TargetSoftware> mStated = new HashSet<>();
+    private final Map<TargetSoftware, Long> mStated = new HashMap<>();
     private final Map<Long, StreamRecord> mRecords = new HashMap<>();
 
     /** Creates an empty listing. */
     public StoredOrigins() {}
 
-    /** Adds a stated version. */
-    public void addStatement(TargetSoftware software) {
-        mStated.add(software);
+    /**
+     * Adds a stated version.
+     *
+     * @param revision revision of the store at which the statement was last written
+     */
+    public void addStatement(TargetSoftware software, long revision) {
+        mStated.put(software, revision);
     }
 
     /** Adds a record; two records of one stream that differ leave it unknown. */
@@ -33,8 +35,8 @@
         }
     }
 
-    /** Returns the stated versions. */
-    public Set<TargetSoftware> stated() {
+    /** Returns the stated versions with the revisions of their statements. */
+    public Map<TargetSoftware, Long> stated() {
         return mStated;
     }
 
@@ -54,7 +56,7 @@
      */
     public @Nullable TargetSoftware onlySoftware(Collection<String> services) {
         List<TargetSoftware> stated =
-                mStated.stream().filter(s -> services.contains(s.service())).toList();
+                mStated.keySet().stream().filter(s -> services.contains(s.service())).toList();
         return stated.size() == 1 ? stated.get(0) : null;
     }
 }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/VersionsInUse.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/VersionsInUse.java
@@ -22,6 +22,15 @@
         private long mGoneAt;
         private boolean mStated;
         private boolean mStored;
+        private long mRevision;
+        private long mRevisionSeenAt;
+
+        void observeRevision(long revision, long now) {
+            if (revision > mRevision) {
+                mRevision = revision;
+                mRevisionSeenAt = now;
+            }
+        }
     }
 
     private final Map<TargetSoftware, Usage> mUsages = new HashMap<>();
@@ -64,8 +73,12 @@
         return versions;
     }
 
-    /** Records that the store has confirmed this host's statement of a version. */
-    public void recordStated(TargetSoftware version, long now) {
+    /**
+     * Records that the store has confirmed this host's statement of a version.
+     *
+     * @param revision revision at which the store wrote it
+     */
+    public void recordStated(TargetSoftware version, long revision, long now) {
         Usage usage = mUsages.get(version);
         if (usage == null) {
             usage = new Usage();
@@ -74,6 +87,7 @@
         }
         usage.mStated = true;
         usage.mStored = true;
+        usage.observeRevision(revision, now);
     }
 
     /**
@@ -88,19 +102,26 @@
         return usage.mRegistered || now - usage.mGoneAt <= retentionNanos / 2;
     }
 
-    /** Replaces what is known of the store's statements by a whole listing of them. */
-    public void observeStored(Set<TargetSoftware> stored, long now, long retentionNanos) {
+    /**
+     * Replaces what is known of the store's statements by a whole listing of them.
+     *
+     * @param stored the stated versions with the revisions of their statements
+     */
+    public void observeStored(Map<TargetSoftware, Long> stored, long now, long retentionNanos) {
         mListed = true;
-        for (TargetSoftware version : stored) {
-            if (!mUsages.containsKey(version)) {
-                Usage usage = new Usage();
-                usage.mGoneAt = now;
-                mUsages.put(version, usage);
-            }
-        }
+        stored.forEach(
+                (version, revision) -> {
+                    Usage usage = mUsages.get(version);
+                    if (usage == null) {
+                        usage = new Usage();
+                        usage.mGoneAt = now;
+                        mUsages.put(version, usage);
+                    }
+                    usage.observeRevision(revision, now);
+                });
         mUsages.forEach(
                 (version, usage) -> {
-                    usage.mStored = stored.contains(version);
+                    usage.mStored = stored.containsKey(version);
                     usage.mStated &= usage.mStored;
                 });
         mUsages.values()
@@ -121,13 +142,18 @@
                         > 1;
     }
 
-    /** Returns the stated versions whose last target has gone long enough ago. */
+    /**
+     * Returns the stated versions whose last target has gone long enough ago, and whose statements
+     * no host has written for half of that time: a host that sees a version return after a longer
+     * absence writes its statement anew, while this host may not see the targets yet.
+     */
     public List<TargetSoftware> removable(long now, long retentionNanos) {
         List<TargetSoftware> versions = new ArrayList<>();
         mUsages.forEach(
                 (version, usage) -> {
                     boolean isOld = now - usage.mGoneAt >= retentionNanos;
-                    if (usage.mStored && !usage.mRegistered && isOld) {
+                    boolean isUnchanged = now - usage.mRevisionSeenAt >= retentionNanos / 2;
+                    if (usage.mStored && !usage.mRegistered && isOld && isUnchanged) {
                         versions.add(version);
                     }
                 });
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleet.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleet.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.serving.TargetSoftware;
 
 /**
@@ -20,16 +21,6 @@
  * streams up at any host. Each stream's version is known to the simulation alone.
  */
 final class OriginFleet {
-    /**
-     * What happens besides.
-     *
-     * @param lostShare share of the store's answers that are lost
-     * @param lateShare share of the writes that are carried out seconds later, without an answer
-     * @param kills moments at which all hosts are killed, milliseconds
-     * @param statesFirst whether versions are stated at once, and first events wait for it
-     */
-    record Faults(double lostShare, double lateShare, List<Long> kills, boolean statesFirst) {}
-
     /** What became of the streams that were taken up. */
     static final class Counts {
         int mBegun;
@@ -39,12 +30,17 @@
         final Map<Finding.Source, Integer> mSources = new HashMap<>();
         int mWrites;
         int mReads;
+        int mRemovals;
+        int mUnstated;
     }
 
     private record Event(long atMs, long number, Runnable action) {}
 
     private static final String SERVICE = "s";
-    private static final Retention RETENTION = Retention.ofLifetime(15_000);
+
+    /** How long streams are known and statements kept. */
+    static final Retention RETENTION = Retention.ofLifetime(15_000);
+
     private static final List<Set<String>> GROUPS = List.of(Set.of(SERVICE));
     private static final long WRITE_INTERVAL_MS = 50;
     private static final long ANSWER_TIMEOUT_MS = 250;
@@ -52,26 +48,36 @@
     private static final long SEARCH_MS = 250;
     private static final long LATE_STATEMENT_MS = 1_500;
     private static final long MAX_LATE_MS = 4_000;
+    private static final int RESUME_JITTER_MS = 4;
+    private static final long CATCH_UP_MS = 400;
 
     private final Random mRandom;
-    private final Faults mFaults;
+    private final FleetFaults mFaults;
     private final Counts mCounts = new Counts();
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparing(Event::number));
 
-    private final Set<TargetSoftware> mStatements = new HashSet<>();
+    private final FleetPace mPace;
+    private final Map<TargetSoftware, Long> mStatements = new HashMap<>();
     private final Map<String, byte[]> mBuckets = new TreeMap<>();
     private final List<Host> mHosts = new ArrayList<>();
     private final TreeMap<Long, Set<String>> mTargets = new TreeMap<>();
     private long mNumber;
     private long mNowMs;
-
-    OriginFleet(long seed, int hosts, Faults faults, TreeMap<Long, Set<String>> targets) {
+    private long mRevision;
+
+    OriginFleet(
+            long seed,
+            int hosts,
+            FleetFaults faults,
+            FleetPace pace,
+            TreeMap<Long, Set<String>> targets) {
         mRandom = new Random(seed);
         mFaults = faults;
+        mPace = pace;
         mTargets.putAll(targets);
         for (int i = 0; i < hosts; i++) {
-            mHosts.add(new Host("h" + i));
+            mHosts.add(new Host(i));
         }
     }
 
@@ -151,12 +157,25 @@
     }
 
     private void takeUp(String id, String version) {
-        Host host = mHosts.get(mRandom.nextInt(mHosts.size()));
+        Host host = mHosts.get(selectHost());
         if (!host.mRuns) {
             return;
         }
         mCounts.mTakenUp++;
-        host.find(id, mNowMs, mNowMs + 500, origin -> count(origin, version));
+        host.whenRunning(
+                () -> host.find(id, mNowMs, mNowMs + 500, origin -> count(origin, version)));
+    }
+
+    /** Selects any host, or as often one that is out of step or was until just now. */
+    private int selectHost() {
+        if (mRandom.nextBoolean()) {
+            for (HostOutage outage : mFaults.outages()) {
+                if (outage.holds(mNowMs) || outage.holds(mNowMs - CATCH_UP_MS)) {
+                    return outage.host();
+                }
+            }
+        }
+        return mRandom.nextInt(mHosts.size());
     }
 
     private void count(Finding origin, String version) {
@@ -169,14 +188,46 @@
     }
 
     private final class Host {
+        private final int mNumber;
         private final String mName;
         private int mLife;
         private boolean mRuns;
         private int mStreams;
         private OriginLedger mLedger = newLedger();
 
-        Host(String name) {
-            mName = name;
+        Host(int number) {
+            mNumber = number;
+            mName = "h" + number;
+        }
+
+        private @Nullable HostOutage outage(HostOutage.Kind kind) {
+            return mFaults.outages().stream()
+                    .filter(o -> o.host() == mNumber && o.holds(mNowMs))
+                    .filter(o -> o.kind() == kind)
+                    .findFirst()
+                    .orElse(null);
+        }
+
+        /** Runs an action at once, or after the pause of the process. */
+        private void whenRunning(Runnable action) {
+            HostOutage pause = outage(HostOutage.Kind.PAUSED);
+            if (pause == null) {
+                action.run();
+            } else {
+                at(pause.untilMs() + mRandom.nextInt(RESUME_JITTER_MS), () -> whenRunning(action));
+            }
+        }
+
+        private void readStore(Consumer<StoredOrigins> onAnswer) {
+            if (outage(HostOutage.Kind.STORE_UNREACHABLE) == null) {
+                read(stored -> whenRunning(() -> onAnswer.accept(stored)));
+            }
+        }
+
+        private void writeStore(Runnable effect, Runnable onAnswer) {
+            if (outage(HostOutage.Kind.STORE_UNREACHABLE) == null) {
+                write(effect, () -> whenRunning(onAnswer));
+            }
         }
 
         private OriginLedger newLedger() {
@@ -192,6 +243,32 @@
             ifAlive(20, this::listUntilAnswered).run();
             observe();
             beginNext();
+            if (mPace.listingIntervalMs() > 0) {
+                ifAlive(mPace.listingIntervalMs(), this::listAndRemove).run();
+            }
+        }
+
+        private void listAndRemove() {
+            int life = mLife;
+            readStore(
+                    stored -> {
+                        if (life == mLife) {
+                            mLedger.observeStored(stored, nanos(), RETENTION);
+                            mLedger.removable(nanos(), RETENTION)
+                                    .forEach(v -> removeStatement(v, stored.stated().get(v)));
+                        }
+                    });
+            ifAlive(mPace.listingIntervalMs(), this::listAndRemove).run();
+        }
+
+        private void removeStatement(TargetSoftware version, @Nullable Long revision) {
+            writeStore(
+                    () -> {
+                        if (revision != null && mStatements.remove(version, revision)) {
+                            mCounts.mRemovals++;
+                        }
+                    },
+                    () -> {});
         }
 
         void kill() {
@@ -205,17 +282,19 @@
             return () ->
                     in(
                             delayMs,
-                            () -> {
-                                if (life == mLife) {
-                                    action.run();
-                                }
-                            });
+                            () ->
+                                    whenRunning(
+                                            () -> {
+                                                if (life == mLife) {
+                                                    action.run();
+                                                }
+                                            }));
         }
 
         private void listUntilAnswered() {
             int life = mLife;
             boolean[] answered = new boolean[1];
-            read(
+            readStore(
                     stored -> {
                         if (life == mLife) {
                             answered[0] = true;
@@ -233,7 +312,13 @@
         }
 
         private Set<String> view() {
-            return versionsAt(mNowMs - mRandom.nextInt((int) VIEW_LAG_MS));
+            long atMs = mNowMs - mRandom.nextInt((int) VIEW_LAG_MS);
+            for (HostOutage outage : mFaults.outages()) {
+                if (outage.host() == mNumber && outage.holds(atMs)) {
+                    return versionsAt(outage.fromMs());
+                }
+            }
+            return versionsAt(atMs);
         }
 
         private void observe() {
@@ -252,12 +337,16 @@
         private void state(TargetSoftware version, Runnable onStated) {
             int life = mLife;
             boolean[] stated = new boolean[1];
-            write(
-                    () -> mStatements.add(version),
+            long[] revision = new long[1];
+            writeStore(
+                    () -> {
+                        revision[0] = ++mRevision;
+                        mStatements.put(version, revision[0]);
+                    },
                     () -> {
                         if (life == mLife && !stated[0]) {
                             stated[0] = true;
-                            mLedger.recordStated(version, nanos());
+                            mLedger.recordStated(version, revision[0], nanos());
                             onStated.run();
                         }
                     });
@@ -283,7 +372,7 @@
             }
             int life = mLife;
             boolean[] decided = new boolean[1];
-            write(
+            writeStore(
                     () -> apply(write),
                     () -> {
                         if (life == mLife && !decided[0]) {
@@ -319,7 +408,8 @@
                 String id = mName + '-' + mLife + '-' + ++mStreams;
                 ifAlive(5, () -> begin(id, version)).run();
             }
-            ifAlive(10 + mRandom.nextInt(20), this::beginNext).run();
+            long mean = mPace.meanBeginIntervalMs();
+            ifAlive(mean / 2 + mRandom.nextInt((int) mean), this::beginNext).run();
         }
 
         private void begin(String id, String version) {
@@ -336,7 +426,10 @@
 
         private void forward(String id, String version) {
             mCounts.mBegun++;
-            in(1 + mRandom.nextInt(2_500), () -> takeUp(id, version));
+            if (!mStatements.containsKey(new TargetSoftware(SERVICE, version))) {
+                mCounts.mUnstated++;
+            }
+            in(1 + mRandom.nextInt(mPace.maxStreamMs()), () -> takeUp(id, version));
         }
 
         void find(String id, long since, long deadline, Consumer<Finding> onOrigin) {
@@ -347,16 +440,19 @@
                 return;
             }
             boolean[] decided = new boolean[1];
-            read(stored -> decide(decided, stored, id, since, deadline, onOrigin));
-            in(150, () -> retryRead(decided, id, since, deadline, onOrigin));
+            readStore(stored -> decide(decided, stored, id, since, deadline, onOrigin));
+            in(150, () -> whenRunning(() -> retryRead(decided, id, since, deadline, onOrigin)));
             at(
                     Math.max(mNowMs, deadline),
-                    () -> {
-                        if (!decided[0]) {
-                            decided[0] = true;
-                            onOrigin.accept(Finding.unknown(Finding.Source.STORE_SILENT));
-                        }
-                    });
+                    () ->
+                            whenRunning(
+                                    () -> {
+                                        if (!decided[0]) {
+                                            decided[0] = true;
+                                            onOrigin.accept(
+                                                    Finding.unknown(Finding.Source.STORE_SILENT));
+                                        }
+                                    }));
         }
 
         private void retryRead(
@@ -366,7 +462,7 @@
                 long deadline,
                 Consumer<Finding> onOrigin) {
             if (!decided[0]) {
-                read(stored -> decide(decided, stored, id, since, deadline, onOrigin));
+                readStore(stored -> decide(decided, stored, id, since, deadline, onOrigin));
             }
         }
 
@@ -385,7 +481,7 @@
             Finding origin = Finding.ofStored(takeUp, stored);
             boolean isUnknown = origin.mayBeRecordedSoon();
             if (isUnknown && mNowMs - since + 80 <= SEARCH_MS) {
-                in(80, () -> find(id, since, deadline, onOrigin));
+                in(80, () -> whenRunning(() -> find(id, since, deadline, onOrigin)));
             } else {
                 onOrigin.accept(origin);
             }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleetTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleetTest.java
@@ -8,7 +8,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests over seeds that no stream goes on at another version than its own, and that at least half
@@ -48,29 +51,87 @@
             Random random = new Random(seed);
             TreeMap<Long, Set<String>> targets = releases(random);
             List<Long> kills = kill ? kills(random) : List.of();
-            OriginFleet.Faults faults =
-                    new OriginFleet.Faults(lostShare, lateShare, kills, statesFirst);
-            OriginFleet.Counts counts = new OriginFleet(seed, HOSTS, faults, targets).run(RUN_MS);
-            sum.mBegun += counts.mBegun;
-            sum.mTakenUp += counts.mTakenUp;
-            sum.mJoined += counts.mJoined;
-            sum.mRefused += counts.mRefused;
-            sum.mWrites += counts.mWrites;
-            sum.mReads += counts.mReads;
-            counts.mSources.forEach((s, n) -> sum.mSources.merge(s, n, Integer::sum));
+            FleetFaults faults =
+                    new FleetFaults(lostShare, lateShare, kills, statesFirst, List.of());
+            add(sum, new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
+        }
+        return sum;
+    }
+
+    private static void add(OriginFleet.Counts sum, OriginFleet.Counts counts) {
+        sum.mBegun += counts.mBegun;
+        sum.mTakenUp += counts.mTakenUp;
+        sum.mJoined += counts.mJoined;
+        sum.mRefused += counts.mRefused;
+        sum.mWrites += counts.mWrites;
+        sum.mReads += counts.mReads;
+        sum.mRemovals += counts.mRemovals;
+        sum.mUnstated += counts.mUnstated;
+        counts.mSources.forEach((s, n) -> sum.mSources.merge(s, n, Integer::sum));
+    }
+
+    /** Plays the releases while a host is out of step around each change of the versions. */
+    private static OriginFleet.Counts runOutOfStep(List<HostOutage.Kind> kinds) {
+        OriginFleet.Counts sum = new OriginFleet.Counts();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            TreeMap<Long, Set<String>> targets = releases(random);
+            FleetFaults faults =
+                    new FleetFaults(
+                            0.05, 0, List.of(), true, outages(targets.keySet(), kinds, random));
+            add(sum, new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
+        }
+        return sum;
+    }
+
+    private static List<HostOutage> outages(
+            Set<Long> changes, List<HostOutage.Kind> kinds, Random random) {
+        List<HostOutage> outages = new ArrayList<>();
+        for (long change : changes) {
+            long from = change - random.nextInt(1_000);
+            long until = change + 200 + random.nextInt(random.nextBoolean() ? 1_000 : 6_000);
+            HostOutage.Kind kind = kinds.get(random.nextInt(kinds.size()));
+            outages.add(new HostOutage(random.nextInt(HOSTS), kind, from, until));
+        }
+        return outages;
+    }
+
+    /** A version goes and returns at about the time at which its statement becomes old. */
+    private static OriginFleet.Counts runReturnsOfAnOldVersion(List<HostOutage.Kind> kinds) {
+        OriginFleet.Counts sum = new OriginFleet.Counts();
+        long keptMs = TimeUnit.NANOSECONDS.toMillis(OriginFleet.RETENTION.statementNanos());
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            TreeMap<Long, Set<String>> targets = new TreeMap<>();
+            targets.put(0L, Set.of("v1", "v2"));
+            List<HostOutage> outages = new ArrayList<>();
+            long at = 0;
+            for (int i = 0; i < 2; i++) {
+                targets.put(at + 2_000, Set.of("v1"));
+                at += 2_000 + keptMs - 4_000 + random.nextInt(5_000);
+                targets.put(at, Set.of("v1", "v2"));
+                outages.addAll(outages(Set.of(at), kinds, random));
+            }
+            FleetFaults faults = new FleetFaults(0, 0, List.of(at + 4_500), true, outages);
+            add(
+                    sum,
+                    new OriginFleet(seed, HOSTS, faults, FleetPace.SLOW, targets).run(at + 12_000));
         }
         return sum;
     }
 
     private static String describe(OriginFleet.Counts counts) {
-        return "begun %d, taken up %d, joined %d, refused %d, writes %d, reads %d, %s"
+        return ("begun %d, taken up %d, joined %d, unstated %d, refused %d,"
+                        + " writes %d, reads %d, removals %d, %s")
                 .formatted(
                         counts.mBegun,
                         counts.mTakenUp,
                         counts.mJoined,
+                        counts.mUnstated,
                         counts.mRefused,
                         counts.mWrites,
                         counts.mReads,
+                        counts.mRemovals,
                         counts.mSources);
     }
 
@@ -78,6 +139,7 @@
         String text = describe(counts);
         assertTrue(counts.mTakenUp > SEEDS * 100, text);
         assertEquals(0, counts.mJoined, text);
+        assertEquals(0, counts.mUnstated, text);
         assertTrue(2 * counts.mRefused <= counts.mTakenUp, text);
     }
 
@@ -101,6 +163,25 @@
         check(runAll(0.1, 0.2, true, true));
     }
 
+    /** Guards against a stream joined at a host that was out of step while a version joined. */
+    @ParameterizedTest
+    @EnumSource
+    void hostIsOutOfStepWhileVersionsJoin(HostOutage.Kind kind) {
+        check(runOutOfStep(List.of(kind)));
+    }
+
+    /**
+     * Guards against a host that removes the statement of a version that it does not see return.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void hostIsOutOfStepWhileAVersionReturns(HostOutage.Kind kind) {
+        OriginFleet.Counts counts = runReturnsOfAnOldVersion(List.of(kind));
+        assertEquals(0, counts.mJoined, describe(counts));
+        assertEquals(0, counts.mUnstated, describe(counts));
+        assertTrue(counts.mRemovals > 0, describe(counts));
+    }
+
     /** The fault that the statements prevent must show when they are left out, and only then. */
     @Test
     void streamsAreJoinedUnlessVersionsAreStatedFirst() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
@@ -32,7 +32,7 @@
 
     private void list(TargetSoftware... versions) {
         StoredOrigins stored = new StoredOrigins();
-        List.of(versions).forEach(stored::addStatement);
+        List.of(versions).forEach(version -> stored.addStatement(version, 1));
         mLedger.observeStored(stored, 0, RETENTION);
     }
 
@@ -41,7 +41,7 @@
         list();
         assertEquals(List.of(OLD), mLedger.observeTargets(GROUPS, Set.of(OLD), 0, RETENTION));
         assertFalse(mLedger.begin(key("a"), OLD, 1, RETENTION));
-        mLedger.recordStated(OLD, 2);
+        mLedger.recordStated(OLD, 1, 2);
         assertTrue(mLedger.begin(key("a"), OLD, 3, RETENTION));
         assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD), 4, RETENTION));
     }
@@ -81,7 +81,7 @@
     void statesAVersionAnewThatWasGoneForLong() {
         list();
         mLedger.observeTargets(GROUPS, Set.of(OLD), 0, RETENTION);
-        mLedger.recordStated(OLD, 0);
+        mLedger.recordStated(OLD, 1, 0);
         mLedger.observeTargets(GROUPS, Set.of(), 10, RETENTION);
         assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD), 20, RETENTION));
         mLedger.observeTargets(GROUPS, Set.of(), 30, RETENTION);
@@ -99,6 +99,20 @@
         assertEquals(List.of(OLD), mLedger.removable(150, RETENTION));
     }
 
+    /** Guards against the removal of a statement that another host has just written anew. */
+    @Test
+    void keepsAStatementThatAnotherHostWroteMeanwhile() {
+        list(OLD, NEW);
+        mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 0, RETENTION);
+        mLedger.observeTargets(GROUPS, Set.of(NEW), 50, RETENTION);
+        StoredOrigins later = new StoredOrigins();
+        later.addStatement(OLD, 2);
+        later.addStatement(NEW, 1);
+        mLedger.observeStored(later, 149, RETENTION);
+        assertEquals(List.of(), mLedger.removable(198, RETENTION));
+        assertEquals(List.of(OLD), mLedger.removable(199, RETENTION));
+    }
+
     @Test
     void idThatBeganStreamsOfTwoVersionsNamesNeither() {
         list(OLD, NEW);
@@ -136,14 +150,14 @@
     @Test
     void knowsTheOnlyVersionOfEachService() {
         StoredOrigins stored = new StoredOrigins();
-        stored.addStatement(NEW);
-        stored.addStatement(OTHER);
+        stored.addStatement(NEW, 1);
+        stored.addStatement(OTHER, 1);
         Finding only = new Finding(NEW, Finding.Source.ONLY_VERSION);
         assertEquals(only, Finding.ofStored(takeUp("s", "a"), stored));
         TakeUp both = new TakeUp("a", "c", List.of("s", "other"));
         Finding unknown = Finding.unknown(Finding.Source.NO_RECORD);
         assertEquals(unknown, Finding.ofStored(both, stored));
-        stored.addStatement(OLD);
+        stored.addStatement(OLD, 1);
         assertEquals(unknown, Finding.ofStored(takeUp("s", "a"), stored));
         assertEquals(OTHER, Finding.ofStored(takeUp("other", "a"), stored).software());
         assertEquals(unknown, Finding.ofStored(takeUp("third", "a"), stored));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/OriginListing.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/OriginListing.java
@@ -1,8 +1,6 @@
 package org.sesamepin.node.stream;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.serving.TargetSoftware;
@@ -19,17 +17,14 @@
  * What the store holds about streams, as one listing showed it.
  *
  * @param origins statements and records
- * @param statementRevisions revision of each version's statement
  * @param buckets keys of the buckets of records
  */
-record OriginListing(
-        StoredOrigins origins, Map<TargetSoftware, Long> statementRevisions, Set<String> buckets) {
+record OriginListing(StoredOrigins origins, Set<String> buckets) {
     private static final Logger LOG = LoggerFactory.getLogger(OriginListing.class);
 
     /** Decodes a listing; an entry that cannot be decoded costs only itself. */
     static OriginListing decode(StoreListing listing) {
-        OriginListing decoded =
-                new OriginListing(new StoredOrigins(), new HashMap<>(), new HashSet<>());
+        OriginListing decoded = new OriginListing(new StoredOrigins(), new HashSet<>());
         for (StoreEntry entry : listing.entries()) {
             try {
                 decoded.add(entry);
@@ -52,8 +47,7 @@
                             json ->
                                     new TargetSoftware(
                                             json.getString("service"), json.getString("version")));
-            origins.addStatement(version);
-            statementRevisions.put(version, entry.modRevision());
+            origins.addStatement(version, entry.modRevision());
         } else if (entry.key().startsWith(ServingKeys.streamRecordsPrefix())) {
             buckets.add(entry.key());
             StreamRecordCodec.decode(entry.value()).forEach(origins::addRecord);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
@@ -181,10 +181,11 @@
         return mStatements
                 .state(version)
                 .onSuccess(
-                        v -> {
-                            mLedger.recordStated(version, mTicker.nanoTime());
+                        revision -> {
+                            mLedger.recordStated(version, revision, mTicker.nanoTime());
                             mWriter.schedule();
-                        });
+                        })
+                .mapEmpty();
     }
 
     @Override
@@ -249,7 +250,7 @@
             commitRemoval(removal, "records");
         }
         for (TargetSoftware version : mLedger.removable(mTicker.nanoTime(), retention())) {
-            Long revision = listing.statementRevisions().get(version);
+            Long revision = listing.origins().stated().get(version);
             if (revision != null) {
                 removeStatement(version, revision);
             }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/VersionStatements.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/VersionStatements.java
@@ -31,7 +31,7 @@
     private final Vertx mVertx;
     private final WatchableStore mStore;
     private final String mHost;
-    private final Map<TargetSoftware, Promise<Void>> mOpen = new LinkedHashMap<>();
+    private final Map<TargetSoftware, Promise<Long>> mOpen = new LinkedHashMap<>();
     private boolean mIsScheduled;
     private boolean mClosed;
     private int mWrites;
@@ -42,13 +42,13 @@
         mHost = host;
     }
 
-    /** States a version; completes once the store has confirmed it. */
-    Future<Void> state(TargetSoftware version) {
-        Promise<Void> open = mOpen.get(version);
+    /** States a version; completes with the store's revision once the store has confirmed it. */
+    Future<Long> state(TargetSoftware version) {
+        Promise<Long> open = mOpen.get(version);
         if (open != null) {
             return open.future();
         }
-        Promise<Void> statement = Promise.promise();
+        Promise<Long> statement = Promise.promise();
         mOpen.put(version, statement);
         if (!mIsScheduled) {
             mIsScheduled = true;
@@ -76,7 +76,8 @@
                             mWrites--;
                             mVertx.cancelTimer(hedge);
                             if (result.succeeded()) {
-                                versions.forEach(this::confirm);
+                                long revision = result.result().revision();
+                                versions.forEach(version -> confirm(version, revision));
                                 writeOpen();
                             } else {
                                 retry(versions, result.cause());
@@ -92,8 +93,8 @@
         mVertx.setTimer(RETRY_DELAY_MS, t -> writeOpen());
     }
 
-    private void confirm(TargetSoftware version) {
-        Promise<Void> statement = mOpen.remove(version);
+    private void confirm(TargetSoftware version, long revision) {
+        Promise<Long> statement = mOpen.remove(version);
         if (statement == null) {
             return;
         }
@@ -101,7 +102,7 @@
                 "step=stream-version service={} version={} outcome=stated",
                 version.service(),
                 version.version());
-        statement.complete();
+        statement.complete(revision);
     }
 
     private String encode(TargetSoftware version) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
@@ -93,23 +93,27 @@
                             new ServingConfig(
                                     1, List.of(ROUTE), List.of(), null, ConnectionLimits.DEFAULT));
                     for (int i = 0; i < count; i++) {
-                        mHosts.add(newHost("n" + mHosts.size()));
+                        mHosts.add(newHost("n" + mHosts.size(), mState));
                     }
                 });
     }
 
-    private StoredStreamOrigins newHost(String name) {
+    private StoredStreamOrigins newHost(String name, ServingState state) {
         StoredStreamOrigins host =
                 new StoredStreamOrigins(
-                        mVertx, mNow::get, mStore, mState, name, () -> 2, key -> true);
+                        mVertx, mNow::get, mStore, state, name, () -> 2, key -> true);
         host.start();
         return host;
     }
 
     private void setTargets(String... versions) throws Exception {
+        setTargets(mState, versions);
+    }
+
+    private void setTargets(ServingState state, String... versions) throws Exception {
         run(
                 () -> {
-                    mState.setTargets(
+                    state.setTargets(
                             List.of(versions).stream()
                                     .map(StoredStreamOriginsTest::target)
                                     .toList());
@@ -117,6 +121,17 @@
                 });
     }
 
+    /** Starts a host with its own view of the targets. */
+    private ServingState startHostApart() throws Exception {
+        ServingState state = new ServingState();
+        run(
+                () -> {
+                    state.activateIfNewer(mState.config());
+                    mHosts.add(newHost("n" + mHosts.size(), state));
+                });
+        return state;
+    }
+
     private static TargetInstance target(String version) {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
         return new TargetInstance(version, 1, "s", version, address, "a", 8, TargetState.READY, 0);
@@ -248,6 +263,24 @@
         assertEquals(1, statements());
     }
 
+    /** Guards against a statement that a host removes because it does not see a version return. */
+    @Test
+    void statementWrittenAnewIsKeptByAHostThatStoodStill() throws Exception {
+        startHosts(1);
+        ServingState late = startHostApart();
+        setTargets(late, "v1", "v2");
+        setTargets("v1", "v2");
+        passSeconds(30);
+        setTargets(late, "v1");
+        setTargets("v1");
+        passSeconds(40);
+        passSeconds(33);
+        setTargets("v1", "v2");
+        passSeconds(4);
+        assertEquals(2, statements());
+        assertEquals("no-record", find(1, "began-elsewhere", null));
+    }
+
     /** What a host left that is gone for good, and foreign entries, must not stay or do harm. */
     @Test
     void entriesOfHostsThatAreGoneAreRemoved() throws Exception {
