--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -96,12 +96,23 @@
 
     /** Lets a node accept a job of one item for each of {@code parts}, the part of its prompt. */
     void submitJob(int node, String jobId, List<String> parts) throws Exception {
+        accept(node, jobId, parts);
+    }
+
+    /** Submits a job as {@link #submitJob} does, and returns what became of it. */
+    JobRequestHandler.Acceptance accept(int node, String jobId, List<String> parts)
+            throws Exception {
         List<JobItem> items = new ArrayList<>();
         for (int i = 0; i < parts.size(); i++) {
             Map<String, String> headers = Map.of("Part", parts.get(i));
             items.add(new JobItem(jobId + i, "/batch/x", headers, new byte[] {1}, 1));
         }
-        onLoop(() -> mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items));
+        return onLoop(() -> mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items));
+    }
+
+    /** Cancels a job through a node, unless the store does not take the cancellation. */
+    void cancelJob(int node, String jobId) throws Exception {
+        onLoop(() -> mNodes.get(node).jobs().cancel(jobId).otherwiseEmpty());
     }
 
     /** Returns the number of quarantines of prompts that a node knows. */
@@ -112,8 +123,18 @@
                                 mNodes.get(node).context().promptGuard().quarantineCount()));
     }
 
-    /** Returns the published results of a job. */
+    /** Returns the published results of a job, page by page. */
     List<JobResult> results(int node, String jobId) throws Exception {
+        List<JobResult> results = new ArrayList<>();
+        List<JobResult> page = resultsFrom(node, jobId, 0);
+        while (!page.isEmpty()) {
+            results.addAll(page);
+            page = resultsFrom(node, jobId, results.size());
+        }
+        return results;
+    }
+
+    private List<JobResult> resultsFrom(int node, String jobId, int offset) throws Exception {
         return onLoop(
                 () -> {
                     JobRequestHandler jobs = mNodes.get(node).jobs();
@@ -125,7 +146,7 @@
                                                     .readResults(
                                                             jobId,
                                                             Objects.requireNonNull(summary),
-                                                            0,
+                                                            offset,
                                                             0))
                             .map(JobContentReader.Page::results);
                 });
@@ -198,7 +219,11 @@
 
     /** Starts one more node. */
     void startNode() throws Exception {
-        String name = "n" + ++mStartedNodes;
+        startNode("n" + ++mStartedNodes);
+    }
+
+    /** Starts one more node, which may have the name of one that has ended. */
+    void startNode(String name) throws Exception {
         onLoop(
                 () -> {
                     ServingNode node =
