End a process that lacks memory instead of going on half alive

Callers saw: a node that had run out of heap lived on, accepted connections and answered none; its event loop had lost timers and handlers, and nothing started it again.

Cause: an OutOfMemoryError was logged by Vert.x ("Unhandled exception") or became the failure of a future, and the process went on.

Evidence: a node with the options of the deploy file beside 30 targets with endless bodies logged 712 OutOfMemoryErrors in one run, was alive at its end, and a request to a sound service got no answer in 20 s.

Fix: -XX:+ExitOnOutOfMemoryError in the run lines; FatalErrors ends the process for errors that Java code throws (memory outside the heap), which the option doesn't cover. StackOverflowError doesn't end it.

Not covered: an error of Java code that a future's mapper turns into a failure.

--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/NodeCommand.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/NodeCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import joptsimple.OptionSpec;
+import org.sesamepin.node.FatalErrors;
 import org.sesamepin.node.Node;
 import org.sesamepin.node.settings.NodeSettings;
 
@@ -52,6 +53,7 @@
     private static void runUntilStopped(NodeSettings settings) throws Exception {
         int eventLoops = settings.eventLoops() + EXTRA_EVENT_LOOPS;
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(eventLoops));
+        FatalErrors.install(vertx);
         Node node = new Node(vertx, settings);
         CountDownLatch stopped = new CountDownLatch(1);
         Thread shutdownHook = new Thread(() -> stop(vertx, node, settings, stopped), "stop");
--- a/sesamepin-dist/src/main/sh/preamble.sh
+++ b/sesamepin-dist/src/main/sh/preamble.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec java ${SESAMEPIN_JAVA_OPTS:--Xss512k -XX:+UseSerialGC} -cp "$0" org.sesamepin.cli.Main "$@"
+exec java -XX:+ExitOnOutOfMemoryError ${SESAMEPIN_JAVA_OPTS:--Xss512k -XX:+UseSerialGC} -cp "$0" org.sesamepin.cli.Main "$@"
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.node.FatalErrors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -83,7 +84,12 @@
                 .channelHandlerContext()
                 .pipeline()
                 .replace(HANDLER_NAME, HANDLER_NAME, codec);
-        connection.exceptionHandler(e -> codec.log("failed", String.valueOf(e.getMessage())));
+        connection.exceptionHandler(codec::onFailure);
+    }
+
+    private void onFailure(Throwable cause) {
+        FatalErrors.endProcessIfFatal(cause);
+        log("failed", String.valueOf(cause.getMessage()));
     }
 
     private void log(String outcome, String cause) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.node.FatalErrors;
 
 /**
  * Decodes requests and rejects two kinds of request heads that the library accepts: a head with
@@ -63,6 +64,7 @@
                 .channelHandlerContext()
                 .pipeline()
                 .replace(HANDLER_NAME, HANDLER_NAME, decoder);
+        connection.exceptionHandler(FatalErrors::endProcessIfFatal);
     }
 
     /** Returns the error to send in response to a request whose head could not be decoded. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
@@ -17,6 +17,7 @@
 import org.sesamepin.core.error.Execution;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.node.FatalErrors;
 import org.sesamepin.node.peer.generated.Failure;
 import org.sesamepin.node.peer.generated.PeerFrame;
 import org.sesamepin.node.peer.generated.PeerReply;
@@ -133,7 +134,11 @@
     private void setSocketHandlers(String address, Connection connection, NetSocket socket) {
         socket.handler(
                 FrameCodec.parser(frame -> onReply(connection, frame), () -> socket.close()));
-        socket.exceptionHandler(e -> socket.close());
+        socket.exceptionHandler(
+                e -> {
+                    FatalErrors.endProcessIfFatal(e);
+                    socket.close();
+                });
         socket.closeHandler(v -> closeConnection(address, connection));
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerServer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerServer.java
@@ -12,6 +12,7 @@
 import org.apache.thrift.TException;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
+import org.sesamepin.node.FatalErrors;
 import org.sesamepin.node.peer.generated.Failure;
 import org.sesamepin.node.peer.generated.PeerFrame;
 import org.sesamepin.node.peer.generated.PeerReply;
@@ -51,7 +52,11 @@
     private void onConnection(NetSocket socket) {
         Runnable onInvalidFrame = () -> socket.close();
         socket.handler(FrameCodec.parser(frame -> handleRequest(socket, frame), onInvalidFrame));
-        socket.exceptionHandler(e -> socket.close());
+        socket.exceptionHandler(
+                e -> {
+                    FatalErrors.endProcessIfFatal(e);
+                    socket.close();
+                });
     }
 
     private void handleRequest(NetSocket socket, PeerFrame frame) {
