Bound the memory of all responses of targets together

Callers saw: with targets that send bodies without end, the host ran out of memory, and requests of other clients, of sound services, ended without an answer.

Cause: each body was bounded (16 MiB), and each event (1 MiB), but not their sum: ten bodies fill the heap of the deploy file (160 MB). The same holds for whole responses that a slow caller hasn't read yet.

Fix: ResponseMemory counts the bytes of unfinished bodies and events and of whole responses that are being written, an eighth of the heap in all; beyond it the largest is given up: its connection is closed, the attempt fails (502 or another target). Both front ends, model calls, plain services and items use it.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -304,7 +304,8 @@
                                 protocol.isResponseTo(
                                                 requestId,
                                                 response.getHeader(TargetHeaders.REQUEST_ID))
-                                        ? ResponseBody.read(response)
+                                        ? ResponseBody.read(
+                                                        response, mTargetClient.responseMemory())
                                                 .map(
                                                         body ->
                                                                 new TargetResponse(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
@@ -75,6 +75,11 @@
         return mLastEventId;
     }
 
+    /** Returns the size of an event that was received in part only, bytes. */
+    public int bufferedBytes() {
+        return mBuffer.length();
+    }
+
     /** Returns whether an event has been received in part only. */
     public boolean hasPartialEvent() {
         return mBuffer.length() > 0;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
@@ -24,24 +24,36 @@
     /**
      * Reads a whole body into memory.
      *
-     * @return the body; fails when it is interrupted or has more than {@link #MAX_BYTES}, and then
-     *     the connection is closed
+     * @param memory memory that the body takes until it is complete
+     * @return the body; fails when it is interrupted, has more than {@link #MAX_BYTES} or there is
+     *     no memory for it, and then the connection is closed
      */
-    public static Future<Buffer> read(HttpClientResponse response) {
+    public static Future<Buffer> read(HttpClientResponse response, ResponseMemory memory) {
         Promise<Buffer> promise = Promise.promise();
+        ResponseMemory.Holder holder =
+                memory.newHolder(() -> giveUp(response, promise, "there is no memory for it"));
         Buffer body = Buffer.buffer();
         response.handler(
                 part -> {
-                    if (body.length() + part.length() > MAX_BYTES) {
-                        close(response);
-                        promise.tryFail("the response body exceeds " + MAX_BYTES + " bytes");
+                    int size = body.length() + part.length();
+                    if (size > MAX_BYTES) {
+                        giveUp(response, promise, "it exceeds " + MAX_BYTES + " bytes");
                         return;
                     }
-                    body.appendBuffer(part);
+                    holder.resize(size);
+                    if (!promise.future().isComplete()) {
+                        body.appendBuffer(part);
+                    }
                 });
         response.exceptionHandler(promise::tryFail);
         response.endHandler(v -> promise.tryComplete(body));
-        return promise.future();
+        return promise.future().onComplete(done -> holder.release());
+    }
+
+    private static void giveUp(
+            HttpClientResponse response, Promise<Buffer> promise, String reason) {
+        promise.tryFail("the response body is given up: " + reason);
+        close(response);
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.online;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -23,6 +24,7 @@
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.http.ResponseBody;
+import org.sesamepin.node.http.ResponseMemory;
 import org.sesamepin.node.prompt.CompletionPrompt;
 import org.sesamepin.node.prompt.QuarantineProblems;
 import org.sesamepin.node.slot.SlotLease;
@@ -51,6 +53,7 @@
     private @Nullable CallPrompt mPrompt;
     private @Nullable HttpClientRequest mTargetRequest;
     private @Nullable HttpClientResponse mTargetResponse;
+    private ResponseMemory.@Nullable Holder mMemory;
     private long mLastProgressNanos;
     private long mProgressTimer = -1;
     private long mForwardedEvents;
@@ -251,10 +254,15 @@
 
     private void forwardWholeResponse(int attempt, SlotLease lease, HttpClientResponse response) {
         Buffer body = Buffer.buffer();
+        ResponseMemory.Holder memory = newMemory(attempt, lease);
         response.handler(
                 part -> {
                     mLastProgressNanos = System.nanoTime();
+                    if (hasEnded() || mTargetResponse != response) {
+                        return;
+                    }
                     body.appendBuffer(part);
+                    memory.resize(body.length());
                     if (body.length() > ResponseBody.MAX_BYTES) {
                         onAttemptFailed(
                                 attempt,
@@ -275,7 +283,8 @@
                             .setStatusCode(response.statusCode())
                             .putHeader("Content-Type", type == null ? "application/json" : type)
                             .putHeader(TargetHeaders.REQUEST_ID, mRequestId)
-                            .end(body);
+                            .end(body)
+                            .onComplete(written -> memory.release());
                     if (response.statusCode() < MIN_CLIENT_ERROR_STATUS) {
                         prompt().recordAnswer();
                     }
@@ -283,7 +292,29 @@
                 });
     }
 
+    /** Returns the memory of the response that is being received; it is released with its end. */
+    private ResponseMemory.Holder newMemory(int attempt, SlotLease lease) {
+        Promise<Void> revoked = Promise.promise();
+        onEventLoop(revoked.future())
+                .onFailure(e -> onAttemptFailed(attempt, lease, responseFailure(lease, "" + e)));
+        releaseMemory();
+        mMemory =
+                mOnlineContext
+                        .targetClient()
+                        .responseMemory()
+                        .newHolder(() -> revoked.tryFail("there is no memory for the response"));
+        return mMemory;
+    }
+
+    private void releaseMemory() {
+        ResponseMemory.Holder memory = mMemory;
+        if (memory != null) {
+            memory.release();
+        }
+    }
+
     private void forwardStream(int attempt, SlotLease lease, HttpClientResponse response) {
+        ResponseMemory.Holder memory = newMemory(attempt, lease);
         response.handler(
                 part -> {
                     mLastProgressNanos = System.nanoTime();
@@ -304,6 +335,7 @@
                                 responseFailure(lease, "an event is missing or came twice"));
                         return;
                     }
+                    memory.resize(mParser.bufferedBytes());
                     applyBackpressure(response);
                 });
         response.exceptionHandler(e -> onAttemptFailed(attempt, lease, e));
@@ -320,6 +352,7 @@
                         return;
                     }
                     stopProgressTimer();
+                    memory.release();
                     mRequest.response().end();
                     prompt().recordAnswer();
                     complete();
@@ -437,6 +470,7 @@
     }
 
     private void resetTargetRequest() {
+        releaseMemory();
         mTargetResponse = null;
         HttpClientRequest request = mTargetRequest;
         mTargetRequest = null;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -169,7 +169,8 @@
         if (!protocol.isResponseTo(mRequestId, response.getHeader(TargetHeaders.REQUEST_ID))) {
             return Future.failedFuture("the response belongs to another request");
         }
-        return ResponseBody.read(response).map(body -> new WholeResponse(response, body));
+        return ResponseBody.read(response, mOnlineContext.targetClient().responseMemory())
+                .map(body -> new WholeResponse(response, body));
     }
 
     private void onResponse(WholeResponse wholeResponse) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -19,6 +19,7 @@
 import org.sesamepin.core.stream.TakeUp;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
+import org.sesamepin.node.http.ResponseMemory;
 import org.sesamepin.node.prompt.QuarantineProblems;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -375,7 +376,10 @@
         }
         recordFirstByte();
         writeHead(head);
-        mResponse.end(body);
+        ResponseMemory.Holder memory =
+                mContext.targetClient().responseMemory().newHolder(mResponse::reset);
+        memory.resize(body.length());
+        mResponse.end(body).onComplete(written -> memory.release());
         finish(head.isSuccess() ? "served" : "target-status-" + head.status(), "");
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -15,6 +15,7 @@
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.IdleTimeout;
 import org.sesamepin.node.http.ResponseBody;
+import org.sesamepin.node.http.ResponseMemory;
 import org.sesamepin.node.prompt.LostTarget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -109,6 +110,7 @@
     private final Plan mPlan;
     private final Listener mListener;
     private final EventStreamParser mParser = new EventStreamParser(this::onParsedEvent);
+    private final ResponseMemory.Holder mEventMemory;
     private @Nullable HttpClientRequest mRequest;
     private @Nullable HttpClientResponse mResponse;
     private final IdleTimeout mIdleTimeout;
@@ -125,6 +127,10 @@
         mContext = context;
         mTarget = target;
         mLoad = context.loads().loadOf(target);
+        mEventMemory =
+                context.targetClient()
+                        .responseMemory()
+                        .newHolder(() -> endInterrupted("there is no memory for the event"));
         mPlan = plan;
         mListener = listener;
         String resumeAfter = plan.resumeAfter();
@@ -267,7 +273,7 @@
         if (head.streamed() && head.isSuccess()) {
             readStream(response, head);
         } else {
-            ResponseBody.read(response)
+            ResponseBody.read(response, mContext.targetClient().responseMemory())
                     .onSuccess(guarded(body -> onBody(head, body)))
                     .onFailure(e -> endDisconnected("cut: " + e));
         }
@@ -309,6 +315,10 @@
         mIdleTimeout.recordProgress();
         if (!mParser.accept(chunk)) {
             endInterrupted("event exceeds the size limit");
+            return;
+        }
+        if (!mEnded) {
+            mEventMemory.resize(mParser.bufferedBytes());
         }
     }
 
@@ -432,6 +442,7 @@
 
     private void end() {
         mEnded = true;
+        mEventMemory.release();
         mEventIntervals.meanMs().ifPresent(mLoad::recordEventInterval);
         mContext.loads().recordEnd(mTarget, mPlan.batch());
         mIdleTimeout.cancel();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -16,6 +16,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.node.http.ClientCodec;
+import org.sesamepin.node.http.ResponseMemory;
 
 /**
  * HTTP client for targets. Each request that must not be repeated gets a new connection: a pooled
@@ -29,6 +30,7 @@
 
     private final HttpClientAgent mPooled;
     private final HttpClientAgent mUnpooled;
+    private final ResponseMemory mResponseMemory = new ResponseMemory();
     private final Set<HttpConnection> mUsedConnections =
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
 
@@ -39,6 +41,11 @@
         mUnpooled = createClient(vertx, clientOptions().setKeepAlive(false), pool);
     }
 
+    /** Returns the memory for the responses of all targets. */
+    public ResponseMemory responseMemory() {
+        return mResponseMemory;
+    }
+
     private static HttpClientAgent createClient(
             Vertx vertx, HttpClientOptions options, PoolOptions pool) {
         return vertx.httpClientBuilder()
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnlabelledAnswerTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnlabelledAnswerTest.java
@@ -36,7 +36,7 @@
                         response -> {
                             boolean isOwn =
                                     protocol.isResponseTo(id, response.getHeader("X-Request-Id"));
-                            return ResponseBody.read(response)
+                            return ResponseBody.read(response, client.responseMemory())
                                     .map(body -> new Taken(isOwn, body.toString()));
                         })
                 .toCompletionStage()
