Keep targets that never stop sending from holding up the event loop

Callers saw: beside targets that send heads or interim responses (100) without end, requests of sound services took over a second, and some got 502 or 504.

Cause: a connection whose data doesn't end was read 16 times in a row before another one got its turn, and interim responses were decoded without a limit until the idle timeout or the deadline of the call.

Fix: one read a turn for each connection to a target or the store; more than 16 interim responses fail the request and close the connection.

Test: EndlessTargetsTest, EndlessResponseTest#endlessInterimResponsesBreakTheAttempt (written with the fix, not run without it; attemptWithoutAHeadEndsWhenItIsCancelled showed that such an attempt goes on).

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -1,9 +1,11 @@
 package org.sesamepin.node.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -52,6 +54,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientCodec.class);
     private static final String HANDLER_NAME = "codec";
+    private static final int MAX_INTERIM_RESPONSES = 16;
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
 
     /** Method of the request whose response is not complete; null when there is none. */
@@ -80,6 +83,11 @@
      */
     public static void install(HttpConnection connection, HttpClientOptions options) {
         ClientCodec codec = new ClientCodec(options);
+        ((ConnectionBase) connection)
+                .channelHandlerContext()
+                .channel()
+                .config()
+                .setRecvByteBufAllocator(newReadAllocator());
         ((ConnectionBase) connection)
                 .channelHandlerContext()
                 .pipeline()
@@ -87,6 +95,11 @@
         connection.exceptionHandler(codec::onFailure);
     }
 
+    /** Returns an allocator with which a sender that never stops does not keep other channels. */
+    private static RecvByteBufAllocator newReadAllocator() {
+        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
+    }
+
     private void onFailure(Throwable cause) {
         FatalErrors.endProcessIfFatal(cause);
         log("failed", String.valueOf(cause.getMessage()));
@@ -144,6 +157,7 @@
     private final class Decoder extends HttpResponseDecoder {
         private boolean mInMessage;
         private boolean mInFinalResponse;
+        private int mInterimResponses;
 
         Decoder(HttpDecoderConfig config) {
             super(config);
@@ -171,6 +185,10 @@
                 failRequest(ctx, in, out, "bytes before a status line");
                 return;
             }
+            if (mInterimResponses > MAX_INTERIM_RESPONSES) {
+                failRequest(ctx, in, out, "interim responses without end");
+                return;
+            }
             mInMessage = true;
             int firstNew = out.size();
             super.decode(ctx, in, out);
@@ -194,6 +212,7 @@
             }
             if (message instanceof HttpResponse head) {
                 mInFinalResponse = head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+                mInterimResponses = mInFinalResponse ? 0 : mInterimResponses + 1;
             }
             if (message instanceof LastHttpContent) {
                 mInMessage = false;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -18,6 +18,7 @@
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -228,6 +229,15 @@
         assertTrue(isFailing(target));
     }
 
+    @Test
+    void endlessInterimResponsesBreakTheAttempt() throws Exception {
+        TargetInstance target = listen("", "HTTP/1.1 100 Continue\r\n\r\n");
+        start(target, false, true);
+        assertEquals("broken", mEnd.get(MAX_MS, TimeUnit.MILLISECONDS));
+        assertClosedWithinBounds();
+        assertTrue(isFailing(target));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {NOT_RUN, MISDIRECTED})
     void endlessBodyOfARefusalIsNotDrained(String head) throws Exception {
