Lift a quarantine while its probe with an item is being answered

A part that ends its targets does so as its answer begins. So a probe that was answered for a second lifts the quarantine and withdraws the evidence of before.

Ruled out: shorter waits, since a part that ends targets at once may have three further requests in a spell of some 90 s.

aQuarantineIsLiftedWhileItsProbeIsBeingAnswered and aPartThatIsIdentifiedAgainAfterItsLiftIsProbedLater come with the methods that they test and could not be run before; PromptThatEndsTargetsTest, PromptQuarantineTest, ItemProbeFleetTest, ItemProbesTest, ItemHistoryTest, JobOwnershipTest pass.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -150,10 +150,22 @@
         }
     }
 
-    /** Returns the entry of a suspect that was identified now; it is newer than a lifted one. */
+    /**
+     * Returns the entry of a suspect that was identified now. It is newer than a lifted one, and
+     * its first probe with an item takes longer to come than that one's.
+     */
     public Entry newEntry(Suspect suspect, long nowMs) {
-        long lifted = mLiftedSinceMs.getOrDefault(suspect, Long.MIN_VALUE);
-        return Entry.startingAt(suspect, Math.max(nowMs, lifted + 1));
+        Long lifted = mLiftedSinceMs.get(suspect);
+        if (lifted == null) {
+            return Entry.startingAt(suspect, nowMs);
+        }
+        long sinceMs = Math.max(nowMs, lifted + 1);
+        return Entry.startingAt(suspect, sinceMs).withItemClaim(sinceMs);
+    }
+
+    /** Returns whether a quarantine of {@code suspect} was lifted before, as far as remembered. */
+    public boolean wasLifted(Suspect suspect) {
+        return mLiftedSinceMs.containsKey(suspect);
     }
 
     /** Removes the quarantine of {@code suspect}; returns false when there was none. */
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
@@ -67,6 +67,17 @@
         assertNotNull(mQuarantine.blocking("s", BAD));
     }
 
+    @Test
+    void aPartThatIsIdentifiedAgainAfterItsLiftIsProbedLater() {
+        long firstMs = mQuarantine.newEntry(SUSPECT, 0).itemHeldUntilMs();
+        mQuarantine.add(mEntry);
+        assertFalse(mQuarantine.wasLifted(SUSPECT));
+        mQuarantine.lift(SUSPECT);
+        assertTrue(mQuarantine.wasLifted(SUSPECT));
+        PromptQuarantine.Entry again = mQuarantine.newEntry(SUSPECT, TEN_MINUTES_MS);
+        assertTrue(again.itemHeldUntilMs() - TEN_MINUTES_MS >= 2 * firstMs);
+    }
+
     @Test
     void aProbeThatEndsATargetDoublesTheTime() {
         mQuarantine.add(mEntry);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -29,6 +29,9 @@
     /** Time beyond the budget in which the end that the target makes of a run may arrive. */
     private static final long BUDGET_MARGIN_MS = 1_000;
 
+    /** Time after the first event at which a target has answered an item for a while. */
+    private static final long LONG_ANSWER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long NO_TIMER = -1;
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int UNPROCESSABLE_CONTENT = 422;
@@ -45,6 +48,7 @@
     private final PromptParts mPrompt;
     private final long mResumeAfter;
     private boolean mHasEvent;
+    private boolean mHasLongAnswer;
     private long mFirstEventAt;
     private long mBudgetTimer = NO_TIMER;
 
@@ -173,16 +177,28 @@
 
     @Override
     public void onEvent(Buffer event, long id) {
-        if (!mHasEvent) {
-            mHasEvent = true;
-            mFirstEventAt = mContext.ticker().nanoTime();
-        }
+        recordAnswerTime();
         if (id == mResumeAfter + 1) {
             progress().recordStreamStart(mIndex, mTarget.software());
         }
         progress().appendEvent(mIndex, id, joinDataLines(event));
     }
 
+    private void recordAnswerTime() {
+        if (mHasLongAnswer) {
+            return;
+        }
+        long now = mContext.ticker().nanoTime();
+        if (!mHasEvent) {
+            mHasEvent = true;
+            mFirstEventAt = now;
+        }
+        mHasLongAnswer = now - mFirstEventAt >= LONG_ANSWER_NANOS;
+        if (mHasLongAnswer) {
+            mContext.promptGuard().recordLongAnswer(mTarget.service(), mPrompt);
+        }
+    }
+
     private static String joinDataLines(Buffer event) {
         StringBuilder joined = new StringBuilder();
         for (String line : event.toString(StandardCharsets.UTF_8).split("\n")) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -203,12 +203,31 @@
             boolean isProbe =
                     mQuarantine.isProbed(suspect) || mItemProbes.wasProbe(suspect, prompt.itemId());
             if (isProbe) {
-                mQuarantineStore.remove(entry);
-                lift(suspect);
+                lift(entry);
             }
         }
     }
 
+    /**
+     * Records that a target has answered an item for a while and goes on. If the item is a probe,
+     * that lifts the quarantine, since a part that ends its targets does so as its answer begins;
+     * one that came back after a lift is lifted by whole answers only.
+     */
+    public void recordLongAnswer(String service, PromptParts prompt) {
+        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
+            Suspect suspect = entry.suspect();
+            boolean isProbe = mItemProbes.wasProbe(suspect, prompt.itemId());
+            if (isProbe && !mQuarantine.wasLifted(suspect)) {
+                lift(entry);
+            }
+        }
+    }
+
+    private void lift(PromptQuarantine.Entry entry) {
+        mQuarantineStore.remove(entry);
+        lift(entry.suspect());
+    }
+
     /**
      * Records that this host preempted a run.
      *
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -34,6 +34,7 @@
 
     private static final int SUBJECTS = 6;
     private static final int ITEMS = 4;
+    private static final long LONG_EVENT_INTERVAL_MS = 1_200;
     private static final String BAD = "bad";
     private static final String REFUSAL = ProblemType.PROMPT_QUARANTINED.label();
     private static final MemoryStore.Fault[] REFUSED_WRITES = new MemoryStore.Fault[500];
@@ -169,6 +170,21 @@
         }
     }
 
+    /** Guards against items that wait until one of them, which may take long, is done. */
+    @Test
+    void aQuarantineIsLiftedWhileItsProbeIsBeingAnswered() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of())) {
+            fleet.start(NODES, TARGETS);
+            long nowMs = System.currentTimeMillis();
+            onLoop(fleet, () -> fleet.targets().setEventIntervalMs(LONG_EVENT_INTERVAL_MS));
+            onLoop(fleet, () -> fleet.store().commit(quarantine("shared", nowMs)));
+            awaitTrue(FINISH_MS, "it is known", () -> fleet.quarantines(0) == 1);
+            fleet.submitJob(0, "job", List.of("shared"));
+            awaitTrue(FINISH_MS, "it is lifted", () -> fleet.quarantines(0) == 0);
+            assertEquals(0, fleet.results(0, "job").size());
+        }
+    }
+
     private static StoreTransaction quarantine(String part, long nowMs) {
         String entry =
                 "{\"service\":\"%s\",\"parts\":[\"%s\"],\"since_ms\":%d,\"until_ms\":%d}"
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -43,6 +43,7 @@
     private String mBadRequestId = "";
     private String mBadBody = "";
     private long mFirstEventMs = EVENT_INTERVAL_MS;
+    private long mEventIntervalMs = EVENT_INTERVAL_MS;
     private final Set<String> mLeaving = new HashSet<>();
     private int mBreakAfterEvents;
     private int mStarted;
@@ -124,14 +125,14 @@
         }
         response.write("id: " + event + "\ndata: " + mVersions.get(id) + "\n\n");
         if (bad) {
-            mVertx.setTimer(EVENT_INTERVAL_MS, t -> end(id));
+            mVertx.setTimer(mEventIntervalMs, t -> end(id));
             return;
         }
         if (event >= EVENTS) {
             response.end();
             return;
         }
-        mVertx.setTimer(EVENT_INTERVAL_MS, t -> sendEvent(id, response, event + 1, false));
+        mVertx.setTimer(mEventIntervalMs, t -> sendEvent(id, response, event + 1, false));
     }
 
     /** Ends a target as a crash does. */
@@ -189,6 +190,11 @@
         mFirstEventMs = firstEventMs;
     }
 
+    /** Sets the time between two events, milliseconds. */
+    void setEventIntervalMs(long eventIntervalMs) {
+        mEventIntervalMs = eventIntervalMs;
+    }
+
     /** Sets the body of the requests that end each target; empty for none. */
     void setBadBody(String body) {
         mBadBody = body;
