Log when an owner learns that a job was cancelled, and from how old a view items are sent

The three hypotheses on items of ended jobs differ in when and how the owner learns of the end; no line told it. step=job-end has it now on the host that stores the end (no-notice) and on the owner (outcome=known), step=place the age of the index.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -121,12 +121,18 @@
         return progress().lastEventId(mIndex);
     }
 
-    void start() {
+    /**
+     * Sends the item.
+     *
+     * @param indexAgeMs age of what this host knows of cancelled jobs, milliseconds
+     */
+    void start(long indexAgeMs) {
         progress().recordStart(mIndex, mContext.ticker().nanoTime());
         mJob.runs().put(mIndex, this);
         LOG.info(
                 "step=place request={} job={} route={} customer={} target={} version={}"
-                        + " prompt_parts={} resume_after={} held_events={} config_version={}",
+                        + " prompt_parts={} resume_after={} held_events={} config_version={}"
+                        + " index_age_ms={}",
                 itemId(),
                 mJob.id(),
                 mRoute.name(),
@@ -136,7 +142,8 @@
                 mPrompt.label(),
                 mResumeAfter,
                 progress().lastEventId(mIndex),
-                mContext.state().config().version());
+                mContext.state().config().version(),
+                indexAgeMs);
         mBudgetTimer =
                 mContext.vertx()
                         .setTimer(ITEM_BUDGET_MS + BUDGET_MARGIN_MS, t -> mAttempt.interrupt());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.job.JobSummary;
+import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.serving.StoreMirror;
 import org.sesamepin.node.spi.StoreChange;
@@ -27,14 +29,22 @@
 public final class JobIndex implements StoreMirror.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(JobIndex.class);
 
+    private final Ticker mTicker;
     private final Map<String, JobSummary> mSummaries = new HashMap<>();
     private final Map<String, Long> mSummaryRevisions = new HashMap<>();
     private final Map<String, JobCodec.Owner> mOwners = new HashMap<>();
     private final Map<String, Long> mAcceptCounterRevisions = new HashMap<>();
-    private final Set<String> mCancelled = new HashSet<>();
+    private final Map<String, Long> mCancellationRevisions = new HashMap<>();
     private final Set<String> mHosts = new TreeSet<>();
     private final List<Consumer<String>> mListeners = new ArrayList<>();
     private long mRevision;
+    private long mUpdatedAt;
+
+    /** Creates an empty index. */
+    public JobIndex(Ticker ticker) {
+        mTicker = ticker;
+        mUpdatedAt = ticker.nanoTime();
+    }
 
     /** Adds a listener that is called with a job's id after each change of the job. */
     void addChangeListener(Consumer<String> listener) {
@@ -48,10 +58,10 @@
         mSummaryRevisions.clear();
         mOwners.clear();
         mAcceptCounterRevisions.clear();
-        mCancelled.clear();
+        mCancellationRevisions.clear();
         mHosts.clear();
         listing.entries().forEach(this::put);
-        mRevision = Math.max(mRevision, listing.revision());
+        recordUpdate(listing.revision());
         changed.addAll(mSummaries.keySet());
         changed.forEach(this::notifyListeners);
     }
@@ -71,10 +81,15 @@
                 changed.add(jobId);
             }
         }
-        mRevision = Math.max(mRevision, changes.revision());
+        recordUpdate(changes.revision());
         changed.forEach(this::notifyListeners);
     }
 
+    private void recordUpdate(long revision) {
+        mRevision = Math.max(mRevision, revision);
+        mUpdatedAt = mTicker.nanoTime();
+    }
+
     private void notifyListeners(String jobId) {
         mListeners.forEach(listener -> listener.accept(jobId));
     }
@@ -100,7 +115,8 @@
             } else if (ServingKeys.Kind.OWNER.matches(key)) {
                 mOwners.put(ServingKeys.Kind.OWNER.name(key), JobCodec.decodeOwner(entry));
             } else if (ServingKeys.Kind.CANCELLATION.matches(key)) {
-                mCancelled.add(ServingKeys.Kind.CANCELLATION.name(key));
+                mCancellationRevisions.put(
+                        ServingKeys.Kind.CANCELLATION.name(key), entry.modRevision());
             } else if (ServingKeys.Kind.ACCEPTED.matches(key)) {
                 mAcceptCounterRevisions.put(key, entry.modRevision());
             } else if (ServingKeys.Kind.HOST.matches(key)) {
@@ -128,7 +144,7 @@
         } else if (ServingKeys.Kind.OWNER.matches(key)) {
             mOwners.remove(jobId);
         } else if (ServingKeys.Kind.CANCELLATION.matches(key)) {
-            mCancelled.remove(jobId);
+            mCancellationRevisions.remove(jobId);
         } else if (ServingKeys.Kind.ACCEPTED.matches(key)) {
             mAcceptCounterRevisions.remove(key);
         } else if (ServingKeys.Kind.HOST.matches(key)) {
@@ -165,7 +181,12 @@
     }
 
     boolean isCancelled(String jobId) {
-        return mCancelled.contains(jobId);
+        return mCancellationRevisions.containsKey(jobId);
+    }
+
+    /** Returns the revision at which a job was cancelled; 0 when it is not cancelled. */
+    long cancellationRevision(String jobId) {
+        return mCancellationRevisions.getOrDefault(jobId, 0L);
     }
 
     /** Returns the names of the registered hosts. */
@@ -178,6 +199,11 @@
         return mRevision;
     }
 
+    /** Returns how long ago the store last answered the watch of this index, milliseconds. */
+    long ageMs() {
+        return TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - mUpdatedAt);
+    }
+
     /**
      * Returns the revision of the counter of jobs accepted for a customer on a route; 0 when there
      * is none.
@@ -193,7 +219,7 @@
         for (Map.Entry<String, JobSummary> entry : mSummaries.entrySet()) {
             JobSummary summary = entry.getValue();
             boolean matches = summary.customer().equals(customer) && summary.route().equals(route);
-            if (matches && !mCancelled.contains(entry.getKey())) {
+            if (matches && !isCancelled(entry.getKey())) {
                 tokens += summary.openTokens();
             }
         }
@@ -207,7 +233,7 @@
                 (jobId, summary) -> {
                     JobCodec.Owner owner = mOwners.get(jobId);
                     boolean ownedByOther = owner != null && !owner.host().equals(host);
-                    if (!ownedByOther && !summary.isComplete() && !mCancelled.contains(jobId)) {
+                    if (!ownedByOther && !summary.isComplete() && !isCancelled(jobId)) {
                         jobs.add(jobId);
                     }
                 });
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -262,6 +262,11 @@
         JobCodec.Owner owner = mIndex.owner(jobId);
         PeerTable.Peer peer = owner == null ? null : mPeers.find(owner.host());
         if (peer == null) {
+            LOG.info(
+                    "step=job-end job={} owner={} index_age_ms={} outcome=no-notice",
+                    jobId,
+                    owner == null ? "-" : owner.host(),
+                    mIndex.ageMs());
             mFetchChanges.run();
             return;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -170,6 +170,16 @@
         }
         JobCodec.Owner currentOwner = mIndex.owner(jobId);
         boolean takenOver = currentOwner != null && currentOwner.revision() > job.ownerRevision();
+        if (mIndex.isCancelled(jobId)) {
+            LOG.info(
+                    "step=job-end job={} revision={} owner_revision={} index_revision={}"
+                            + " index_age_ms={} outcome=known",
+                    jobId,
+                    mIndex.cancellationRevision(jobId),
+                    job.ownerRevision(),
+                    mIndex.revision(),
+                    mIndex.ageMs());
+        }
         if (takenOver || mIndex.isCancelled(jobId)) {
             mOwnedJobs.remove(job, takenOver ? "taken-over" : "ended");
         }
@@ -296,7 +306,8 @@
     }
 
     private void startRun(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
-        new ItemRun(mContext, job, index, route, target, mRunTimes, () -> onRunEnd(job)).start();
+        new ItemRun(mContext, job, index, route, target, mRunTimes, () -> onRunEnd(job))
+                .start(mIndex.ageMs());
     }
 
     @Override
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -126,7 +126,7 @@
                         new MirrorFanOut(List.of(targetRegistry, mStreamOrigins)),
                         () -> watchIntervalMs(TARGET_WATCHES_PER_S, MAX_TARGET_INTERVAL_MS));
         mLease = newLease(store, incarnation);
-        JobIndex jobIndex = new JobIndex();
+        JobIndex jobIndex = new JobIndex(mTicker);
         JobStorage jobStorage = new JobStorage(store, settings.maxStoreValueBytes());
         mPlacementClient = newPlacementClient();
         mLoopLag = new EventLoopLag(vertx, mTicker);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -30,7 +30,7 @@
 
     private static final long RETENTION_MS = 100_000;
 
-    private final JobIndex mIndex = new JobIndex();
+    private final JobIndex mIndex = new JobIndex(Ticker.SYSTEM);
     private final ServingFixture mFixture;
     private final HostLease mLease;
     private final JobRunner mRunner;
