Bound the deferral of a watch to one interval

Callers: items of cancelled jobs may run for long after the acknowledgement in fleets of 24 hosts or more, where the watch of jobs is deferred by up to 3 s.

Cause: each call that a notice or a conflicting acceptance sends ahead of its time counted as a further interval of debt: after k of them the next watch came k + 1 intervals later, 18 s after one acceptance with five conflicts.

Evidence: WatchRateLimiterTest#callsSentAheadOfTimeDeferTheNextOneByAtMostOneInterval failed before with 6,800 ms for an interval of 400 ms; passes now.

Why it works: the debt is at most one call, so the next watch is sent after one interval at the latest. Frequent changes are still read once an interval.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/WatchRateLimiter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/WatchRateLimiter.java
@@ -38,7 +38,9 @@
         long now = mTicker.nanoTime();
         double earnedCalls =
                 (double) (now - mRefilledAt) / TimeUnit.MILLISECONDS.toNanos(intervalMs);
-        mAvailableCalls = Math.min(BURST_CALLS, mAvailableCalls + earnedCalls) - 1;
+        double available = Math.min(BURST_CALLS, mAvailableCalls + earnedCalls) - 1;
+        // Calls that are sent before their time must not defer the next one without a bound.
+        mAvailableCalls = Math.max(-1, available);
         mRefilledAt = now;
         return mAvailableCalls >= 0 ? 0 : Math.round(-mAvailableCalls * intervalMs);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/WatchRateLimiterTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/WatchRateLimiterTest.java
@@ -57,4 +57,13 @@
             assertEquals(0, limiter.nextDelayMs());
         }
     }
+
+    @Test
+    void callsSentAheadOfTimeDeferTheNextOneByAtMostOneInterval() {
+        WatchRateLimiter limiter = newLimiter(INTERVAL_MS);
+        for (int i = 0; i < 20; i++) {
+            limiter.nextDelayMs();
+        }
+        assertEquals(INTERVAL_MS, limiter.nextDelayMs());
+    }
 }
