Send no item by knowledge of cancelled jobs that is older than 1.5 s

Callers: items of ended jobs reached targets over 3 s after the acknowledgement, at a fleet of 70 hosts.

Cause: nothing bounded the age of what an owner knows of cancellations. It learned of them by its watch of the control keys, which may be deferred (3 s and more), silent (22 s) or lost, and by a notice that may miss it.

Evidence: CancelledJobTest on the code before: ownerWithDeferredWatchStopsInTime and ownerWithSilentWatchStopsInTime failed, the owner still ran the job after 2 s; pass now.

Ruled out: a shorter interval of the watch, which costs a call and all changes of the fleet for each host; this reads only the marks, each 0.8 s, by hosts that have items to send.

Why it works: CancellationView knows when the store last told all marks. ItemRun asks it when the connection to the target is there, right before the item is written, and JobRunner before it chooses an item; every way to send an item passes both. While the store does not answer nobody can cancel a job, and items go on. A read that failed while the event loop stood still does not count as that.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -43,6 +43,7 @@
     private final ServingRoute mRoute;
     private final TargetInstance mTarget;
     private final ItemRunTimes mRunTimes;
+    private final CancellationView mCancellations;
     private final Runnable mOnEnd;
     private final TargetAttempt mAttempt;
     private final PromptParts mPrompt;
@@ -60,6 +61,7 @@
             ServingRoute route,
             TargetInstance target,
             ItemRunTimes runTimes,
+            CancellationView cancellations,
             Runnable onEnd) {
         mContext = context;
         mJob = job;
@@ -67,6 +69,7 @@
         mRoute = route;
         mTarget = target;
         mRunTimes = runTimes;
+        mCancellations = cancellations;
         mOnEnd = onEnd;
         JobItem item = job.progress().item(index);
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(item.headers());
@@ -121,18 +124,13 @@
         return progress().lastEventId(mIndex);
     }
 
-    /**
-     * Sends the item.
-     *
-     * @param indexAgeMs age of what this host knows of cancelled jobs, milliseconds
-     */
-    void start(long indexAgeMs) {
+    void start() {
         progress().recordStart(mIndex, mContext.ticker().nanoTime());
         mJob.runs().put(mIndex, this);
         LOG.info(
                 "step=place request={} job={} route={} customer={} target={} version={}"
                         + " prompt_parts={} resume_after={} held_events={} config_version={}"
-                        + " index_age_ms={}",
+                        + " cancellations_age_ms={}",
                 itemId(),
                 mJob.id(),
                 mRoute.name(),
@@ -143,7 +141,7 @@
                 mResumeAfter,
                 progress().lastEventId(mIndex),
                 mContext.state().config().version(),
-                indexAgeMs);
+                mCancellations.ageMs());
         mBudgetTimer =
                 mContext.vertx()
                         .setTimer(ITEM_BUDGET_MS + BUDGET_MARGIN_MS, t -> mAttempt.interrupt());
@@ -176,6 +174,11 @@
         return progress().item(mIndex).id();
     }
 
+    @Override
+    public boolean maySend() {
+        return mCancellations.allowsSending();
+    }
+
     @Override
     public void onSent() {}
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -152,6 +152,17 @@
         }
     }
 
+    /** Adds the cancellations that are newer than all that the watch has delivered. */
+    void addCancellations(StoreListing listing) {
+        for (StoreEntry entry : listing.entries()) {
+            if (entry.modRevision() > mRevision) {
+                String jobId = ServingKeys.Kind.CANCELLATION.name(entry.key());
+                mCancellationRevisions.put(jobId, entry.modRevision());
+                notifyListeners(jobId);
+            }
+        }
+    }
+
     /**
      * Records the progress of a job that this host runs, before the watch delivers it.
      *
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -43,6 +43,7 @@
     /** Time for which a job's route has to be missing before the job's items fail. */
     private static final long ROUTE_REMOVAL_GRACE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    private static final long CANCELLATION_CHECK_INTERVAL_MS = 200;
     private static final long CLEAN_INTERVAL_MS = 5_000;
     private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
@@ -65,6 +66,7 @@
     private final ResultPublisher mPublisher;
     private final JobClaimer mClaimer;
     private final IdleItemMonitor mIdleItemMonitor;
+    private final CancellationView mCancellations;
     private final List<Long> mTimers = new ArrayList<>();
     private Runnable mOnItemsWaiting = () -> {};
     private boolean mStopping;
@@ -85,10 +87,10 @@
         mIndex = index;
         mLease = lease;
         mRetentionMs = retentionMs;
+        mCancellations = new CancellationView(context.ticker(), storage, index, this::offerItems);
         mPublisher = new ResultPublisher(context, storage, index, lease, mOwnedJobs);
         mClaimer = new JobClaimer(context, storage, index, lease, mOwnedJobs, this::add);
-        mIdleItemMonitor =
-                new IdleItemMonitor(context, index, lease, mOwnedJobs, this::quarantineOf);
+        mIdleItemMonitor = new IdleItemMonitor(context, index, lease, mOwnedJobs, this::holdOf);
     }
 
     /**
@@ -102,6 +104,7 @@
         schedulePeriodic(ADVANCE_INTERVAL_MS, this::advanceJobs);
         schedulePeriodic(PUBLISH_CHECK_INTERVAL_MS, this::publishDueResults);
         schedulePeriodic(CLAIM_INTERVAL_MS, mClaimer::claimJobs);
+        schedulePeriodic(CANCELLATION_CHECK_INTERVAL_MS, this::checkCancellations);
         schedulePeriodic(IDLE_CHECK_INTERVAL_MS, mIdleItemMonitor::check);
         schedulePeriodic(
                 CLEAN_INTERVAL_MS,
@@ -159,10 +162,29 @@
         mOwnedJobs.add(job);
         // The index may have received a cancellation or a later owner before the store's reply.
         onJobChange(job.id());
+        checkCancellations();
+        offerItems();
+    }
+
+    private void offerItems() {
         advanceJobs();
         mOnItemsWaiting.run();
     }
 
+    /** Learns of cancelled jobs now, because another host has cancelled one. */
+    public void fetchCancellations() {
+        mCancellations.refresh();
+    }
+
+    private void checkCancellations() {
+        mCancellations.check(!mStopping && hasRunnableItems());
+    }
+
+    private boolean hasRunnableItems() {
+        long now = mContext.ticker().nanoTime();
+        return mOwnedJobs.all().stream().anyMatch(job -> job.progress().runnableItems(now) > 0);
+    }
+
     private void onJobChange(String jobId) {
         OwnedJob job = mOwnedJobs.get(jobId);
         if (job == null) {
@@ -260,11 +282,15 @@
     }
 
     /**
-     * Returns the index of the next item that may be sent to {@code target}, or -1. Items whose
-     * prompts are in quarantine stay open and are looked at again later, once a probe was claimed
-     * for one of them or the quarantine is over.
+     * Returns the index of the next item that may be sent to {@code target}, or -1; there is none
+     * while this host does not know which jobs are cancelled. Items whose prompts are in quarantine
+     * stay open and are looked at again later, once a probe was claimed for one of them or the
+     * quarantine is over.
      */
     private int nextItem(OwnedJob job, TargetInstance target) {
+        if (!mCancellations.allowsSending()) {
+            return -1;
+        }
         long now = mContext.ticker().nanoTime();
         int index = job.progress().nextItem(now, target.software(), this::isServed);
         while (index >= 0 && isPromptQuarantined(job.progress().item(index), target.service())) {
@@ -288,7 +314,10 @@
         return mContext.promptGuard().blocking(service, prompt, item.id()) != null;
     }
 
-    private @Nullable ItemHold quarantineOf(OwnedJob job, int index) {
+    private @Nullable ItemHold holdOf(OwnedJob job, int index) {
+        if (!mCancellations.allowsSending()) {
+            return new ItemHold("cancellations-unknown", CANCELLATION_CHECK_INTERVAL_MS);
+        }
         ServingRoute route = mContext.state().config().routeByName(job.summary().route());
         if (route == null) {
             return null;
@@ -306,8 +335,16 @@
     }
 
     private void startRun(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
-        new ItemRun(mContext, job, index, route, target, mRunTimes, () -> onRunEnd(job))
-                .start(mIndex.ageMs());
+        new ItemRun(
+                        mContext,
+                        job,
+                        index,
+                        route,
+                        target,
+                        mRunTimes,
+                        mCancellations,
+                        () -> onRunEnd(job))
+                .start();
     }
 
     @Override
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -12,6 +12,7 @@
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreResult;
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.WatchableStore;
@@ -175,17 +176,29 @@
         return mStore.commit(end);
     }
 
+    /** Reads the marks of all cancelled jobs. */
+    Future<StoreListing> readCancellations() {
+        return mStore.list(ServingKeys.cancellation(""));
+    }
+
     /** Reads the current summary of a job; null when there is no such job. */
     Future<@Nullable JobSummary> readSummary(String jobId) {
-        String key = ServingKeys.job(jobId);
+        return readEntry(ServingKeys.job(jobId), JobCodec::decodeSummary);
+    }
+
+    /** Decodes the value of an entry. */
+    private interface EntryDecoder<T> {
+        T decode(StoreEntry entry) throws SesamepinException;
+    }
+
+    private <T> Future<@Nullable T> readEntry(String key, EntryDecoder<T> decoder) {
         return mStore.list(key)
                 .compose(
                         listing -> {
                             try {
                                 for (StoreEntry entry : listing.entries()) {
                                     if (entry.key().equals(key)) {
-                                        return Future.succeededFuture(
-                                                JobCodec.decodeSummary(entry));
+                                        return Future.succeededFuture(decoder.decode(entry));
                                     }
                                 }
                                 return Future.succeededFuture(null);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -115,6 +115,11 @@
         }
     }
 
+    @Override
+    public boolean maySend() {
+        return mListener.maySend();
+    }
+
     @Override
     public void onSent() {
         mListener.onSent();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -32,6 +32,11 @@
 public final class TargetAttempt {
     /** Receives the progress and the end of the attempt. */
     public interface Listener {
+        /** Returns whether the request may still be sent, now that there is a connection for it. */
+        default boolean maySend() {
+            return true;
+        }
+
         /** The request is being written; the target may run it from now on. */
         void onSent();
 
@@ -199,6 +204,11 @@
             endNotExecuted(false, "targets ended under a part of the prompt");
             return;
         }
+        if (!mListener.maySend()) {
+            ClientCodec.discard(request);
+            endNotExecuted(false, "the sender does not know whether the request is still wanted");
+            return;
+        }
         mRequest = request;
         mFirstOnConnection = mContext.targetClient().recordUse(request);
         mSent = true;
