Notify the owner of a cancelled job that the store names, and try again

This shortens the delay in which a cancelled job stops; the bound is that of CancellationView.

Cause: the host that stores the cancellation looked the owner up in its own index, which is as old as its deferred watch. A job that was accepted elsewhere a moment ago, or claimed since, had no owner there or another one; then nobody was told. A notice that got no answer was not repeated, and made the owner read only a watch that it had deferred.

Evidence: CancelledJobTest#ownerUnknownToTheIndexIsNoticedAgainAfterAFailure failed before (no notice), passes now.

Why it works: once the mark is stored nobody can claim the job, so the owner that the store then names is the last one.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -45,6 +45,8 @@
     private static final long RETRY_DELAY_MS = 8;
 
     private static final long NOTICE_TIMEOUT_MS = 250;
+    private static final long NOTICE_RETRY_MS = 150;
+    private static final int MAX_NOTICES = 4;
 
     private final ServingContext mContext;
     private final JobStorage mStorage;
@@ -249,34 +251,56 @@
                 .onSuccess(
                         r -> {
                             LOG.info("step=job-end job={} revision={}", jobId, r.revision());
-                            notifyOwner(jobId);
+                            notifyOwner(jobId, 1);
                         })
                 .mapEmpty();
     }
 
     /**
-     * Makes the job's owner fetch the latest changes of its jobs now. This host fetches them itself
-     * when the owner is none of its peers.
+     * Makes the job's owner learn of the cancellation now. The owner is read from the store, since
+     * this host's index may be older than the owner; nobody can become the owner of a job that is
+     * cancelled. Tried again a few times; an owner that is not reached learns by itself.
      */
-    private void notifyOwner(String jobId) {
-        JobCodec.Owner owner = mIndex.owner(jobId);
-        PeerTable.Peer peer = owner == null ? null : mPeers.find(owner.host());
+    private void notifyOwner(String jobId, int attempt) {
+        mStorage.readOwner(jobId)
+                .compose(owner -> notify(jobId, owner))
+                .onFailure(
+                        e -> {
+                            LOG.info(
+                                    "step=job-end job={} attempt={} outcome=not-noticed cause={}",
+                                    jobId,
+                                    attempt,
+                                    e.getMessage());
+                            if (attempt < MAX_NOTICES) {
+                                mContext.vertx()
+                                        .setTimer(
+                                                NOTICE_RETRY_MS,
+                                                t -> notifyOwner(jobId, attempt + 1));
+                            }
+                        });
+    }
+
+    private Future<Void> notify(String jobId, JobCodec.@Nullable Owner owner) {
+        if (owner == null) {
+            LOG.info("step=job-end job={} outcome=no-owner", jobId);
+            return Future.succeededFuture();
+        }
+        if (owner.host().equals(mLease.host())) {
+            mRunner.fetchCancellations();
+            return Future.succeededFuture();
+        }
+        PeerTable.Peer peer = mPeers.find(owner.host());
         if (peer == null) {
-            LOG.info(
-                    "step=job-end job={} owner={} index_age_ms={} outcome=no-notice",
-                    jobId,
-                    owner == null ? "-" : owner.host(),
-                    mIndex.ageMs());
-            mFetchChanges.run();
-            return;
+            return Future.failedFuture("no way to " + owner.host());
         }
-        mClient.call(peer.address(), PeerRequest.jobNotice(new JobNotice(jobId)), NOTICE_TIMEOUT_MS)
-                .onFailure(
-                        e ->
+        PeerRequest notice = PeerRequest.jobNotice(new JobNotice(jobId));
+        return mClient.call(peer.address(), notice, NOTICE_TIMEOUT_MS)
+                .onSuccess(
+                        reply ->
                                 LOG.info(
-                                        "step=job-end job={} owner={} outcome=not-noticed cause={}",
+                                        "step=job-end job={} owner={} outcome=noticed",
                                         jobId,
-                                        peer.name(),
-                                        e.getMessage()));
+                                        peer.name()))
+                .mapEmpty();
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobStorage.java
@@ -181,6 +181,11 @@
         return mStore.list(ServingKeys.cancellation(""));
     }
 
+    /** Reads the current owner of a job; null when it has none. */
+    Future<JobCodec.@Nullable Owner> readOwner(String jobId) {
+        return readEntry(ServingKeys.owner(jobId), JobCodec::decodeOwner);
+    }
+
     /** Reads the current summary of a job; null when there is no such job. */
     Future<@Nullable JobSummary> readSummary(String jobId) {
         return readEntry(ServingKeys.job(jobId), JobCodec::decodeSummary);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -346,7 +346,7 @@
                 PeerRequest._Fields.JOB_NOTICE,
                 request -> {
                     LOG.info("step=job job={} outcome=noticed", request.getJobNotice().getJobId());
-                    return runAndReply(mControlMirror::watchNow);
+                    return runAndReply(mJobRunner::fetchCancellations);
                 });
         server.registerHandler(
                 PeerRequest._Fields.JOB_READ,
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
@@ -8,15 +8,23 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.node.job.JobRequestHandler.Acceptance;
+import org.sesamepin.node.peer.PeerServer;
+import org.sesamepin.node.peer.generated.Done;
+import org.sesamepin.node.peer.generated.PeerReply;
+import org.sesamepin.node.peer.generated.PeerRequest;
+import org.sesamepin.node.serving.FreePorts;
 import org.sesamepin.node.serving.ServingKeys;
+import org.sesamepin.node.settings.NodeSettings;
 
 /** Checks how soon the owner of a cancelled job stops to run it when nobody notifies it. */
 class CancelledJobTest {
@@ -111,6 +119,41 @@
         assertStopsInTime(owner, "job");
     }
 
+    /** Starts the peer server of a host; it fails the first notice and counts all. */
+    private InetSocketAddress startPeerServer(AtomicInteger notices) throws Exception {
+        InetSocketAddress address = FreePorts.address();
+        PeerServer server = new PeerServer(mVertx, address);
+        server.registerHandler(
+                PeerRequest._Fields.JOB_NOTICE,
+                request ->
+                        notices.incrementAndGet() == 1
+                                ? Future.failedFuture("scripted")
+                                : Future.succeededFuture(PeerReply.done(new Done())));
+        runOnEventLoop(server::start);
+        return address;
+    }
+
+    @Test
+    void ownerUnknownToTheIndexIsNoticedAgainAfterAFailure() throws Exception {
+        JobHost owner = startHost("a", 0);
+        JobHost other = startHost("b", 0);
+        AtomicInteger notices = new AtomicInteger();
+        InetSocketAddress address = startPeerServer(notices);
+        read(
+                () -> {
+                    other.stopWatching();
+                    other.addPeer("a", NodeSettings.formatAddress(address));
+                    return true;
+                });
+        accept(owner, "job");
+        cancel(other, "job");
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_DELAY_MS);
+        while (notices.get() < 2) {
+            assertTrue(System.nanoTime() < end, "notices: " + notices.get());
+            Thread.sleep(20);
+        }
+    }
+
     @Test
     void jobWithTheIdOfACancelledOneKeepsItsOwner() throws Exception {
         JobHost owner = startHost("a", DEFERRED_WATCH_MS);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -14,6 +14,7 @@
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.serving.HostLease;
+import org.sesamepin.node.serving.PeerTable;
 import org.sesamepin.node.serving.ServingFixture;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.serving.StoreMirror;
@@ -100,6 +101,12 @@
         mFixture.state().setTargets(targets);
     }
 
+    /** Makes a peer known to the host, which has just heard from it. */
+    void addPeer(String name, String address) {
+        mFixture.peers().register(new PeerTable.Peer(name, address, 1));
+        mFixture.peers().recordContact(name, true);
+    }
+
     /** Makes the host receive no further changes from the store. */
     void stopWatching() {
         mMirror.close();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/FreePorts.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/FreePorts.java
@@ -7,14 +7,14 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free ports below those that the system gives to outgoing connections. */
-final class FreePorts {
+public final class FreePorts {
     private static final int FIRST_PORT = 15_000;
     private static final int END_PORT = 30_000;
 
     private FreePorts() {}
 
     /** Returns a loopback address on which nobody listens. */
-    static InetSocketAddress address() {
+    public static InetSocketAddress address() {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT);
             if (isFree(port)) {
