Keep a cancellation that is newer than the listing or removal that lacks it

Callers: an item of a cancelled job may reach a target, since the index forgets what a later read told.

Cause: the cancellations are read beside the watch. A listing of the control keys that was read before them and answered after them replaced all of them; so did the removal of an earlier mark with the same id. The view still counted as fresh, and while the store did not answer it stayed so.

Evidence: JobIndexTest#olderListingKeepsALaterCancellation and #olderRemovalKeepsALaterCancellation failed before (not cancelled), pass now.

Why it works: a mark goes only by a listing or removal at its revision or a later one, whatever the order in which answers arrive.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -58,7 +58,7 @@
         mSummaryRevisions.clear();
         mOwners.clear();
         mAcceptCounterRevisions.clear();
-        mCancellationRevisions.clear();
+        mCancellationRevisions.values().removeIf(revision -> revision <= listing.revision());
         mHosts.clear();
         listing.entries().forEach(this::put);
         recordUpdate(listing.revision());
@@ -72,7 +72,7 @@
         for (StoreChange change : changes.changes()) {
             StoreEntry entry = change.entry();
             if (entry == null) {
-                remove(change.key());
+                remove(change.key(), change.revision());
             } else {
                 put(entry);
             }
@@ -136,7 +136,7 @@
         mSummaryRevisions.put(jobId, entry.modRevision());
     }
 
-    private void remove(String key) {
+    private void remove(String key, long revision) {
         String jobId = jobIdOf(key);
         if (ServingKeys.Kind.JOB.matches(key)) {
             mSummaries.remove(jobId);
@@ -144,7 +144,8 @@
         } else if (ServingKeys.Kind.OWNER.matches(key)) {
             mOwners.remove(jobId);
         } else if (ServingKeys.Kind.CANCELLATION.matches(key)) {
-            mCancellationRevisions.remove(jobId);
+            mCancellationRevisions.computeIfPresent(
+                    jobId, (id, known) -> known > revision ? known : null);
         } else if (ServingKeys.Kind.ACCEPTED.matches(key)) {
             mAcceptCounterRevisions.remove(key);
         } else if (ServingKeys.Kind.HOST.matches(key)) {
