Let a failed read of the cancellations count for 3 s only

Callers: an item of a cancelled job may reach a target of a host that had no items for a while.

Cause: "the store does not answer" was kept until the next read that succeeds, and a host without items to send makes none. A job that it claims or accepts minutes after an outage was sent by that.

Evidence: CancellationViewTest#outageOfBeforeAllowsNoItemOfNow failed before (sending was allowed 60 s after the only failed read, with a read under way), passes now.

Why it works: while a host has items a read fails more often than each 3 s as long as the store is away; older failures say nothing.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -27,6 +27,9 @@
     /** Interval between two reads while the store does not answer, milliseconds. */
     private static final long RETRY_INTERVAL_MS = 500;
 
+    /** Time for which a failed read counts, longer than the next one takes, milliseconds. */
+    private static final long MAX_FAILURE_AGE_MS = 3_000;
+
     /** Time between two checks after which the event loop counts as having stood still. */
     private static final long MAX_CHECK_INTERVAL_MS = 600;
 
@@ -40,6 +43,7 @@
     private boolean mReadAgain;
     private long mReadAt;
     private boolean mStoreAway;
+    private long mFailedAt;
     private long mCheckedAt;
     private boolean mStoodStill;
 
@@ -59,7 +63,8 @@
 
     /** Returns whether an item may be sent by what this host knows now. */
     boolean allowsSending() {
-        return mStoreAway || (mKnown && ageMs() <= MAX_AGE_MS);
+        boolean isAway = mStoreAway && elapsedMs(mFailedAt) <= MAX_FAILURE_AGE_MS;
+        return isAway || (mKnown && ageMs() <= MAX_AGE_MS);
     }
 
     /** Returns the age of what this host knows, milliseconds; -1 before the first read. */
@@ -135,6 +140,7 @@
     private void onReadFailed(Throwable e) {
         recordStandstill();
         if (!mStoodStill) {
+            mFailedAt = mTicker.nanoTime();
             setStoreAway(true, String.valueOf(e.getMessage()));
         }
     }
--- /dev/null
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
@@ -0,0 +1,54 @@
+package org.sesamepin.node.job;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.sesamepin.node.serving.ServingKeys;
+import org.sesamepin.node.spi.StoreTransaction;
+
+/** Checks when items may be sent, by what the reads of the cancellations told. */
+class CancellationViewTest {
+    private static final long CHECK_INTERVAL_MS = 200;
+
+    private final MemoryStore mStore = new MemoryStore();
+    private long mNowMs = 10_000;
+    private final JobIndex mIndex = new JobIndex(this::nanoTime);
+    private final CancellationView mView =
+            new CancellationView(
+                    this::nanoTime,
+                    new JobStorage(mStore, JobHost.MAX_VALUE_BYTES),
+                    mIndex,
+                    () -> {});
+
+    private long nanoTime() {
+        return TimeUnit.MILLISECONDS.toNanos(mNowMs);
+    }
+
+    /** Lets time pass on a host that has items to send, or none. */
+    private void run(long durationMs, boolean hasItems) {
+        long end = mNowMs + durationMs;
+        while (mNowMs < end) {
+            mNowMs += CHECK_INTERVAL_MS;
+            mView.check(hasItems);
+        }
+    }
+
+    private void cancel(String jobId) {
+        mStore.commit(
+                new StoreTransaction().put(ServingKeys.cancellation(jobId), new byte[] {'1'}, 0));
+    }
+
+    @Test
+    void outageOfBeforeAllowsNoItemOfNow() {
+        mStore.failNextLists(1);
+        run(CHECK_INTERVAL_MS, true);
+        assertTrue(mView.allowsSending());
+        run(60_000, false);
+        cancel("job");
+        mStore.holdNextList();
+        mView.check(true);
+        assertFalse(mView.allowsSending());
+    }
+}
