Go on reading cancellations after an error in a listener of the index

Callers: all items of a host stop for good after one unexpected error.

Cause: an exception in a listener of a cancellation skipped the step that ends the read, so that no further read was made, and no item is sent by a view older than 1.5 s. The marks after the first one of that read were lost, too, while the view counted as fresh.

Evidence: CancellationViewTest#failingListenerDoesNotEndTheReads failed before (nothing allowed 10 s later), passes now.

Why it works: the read ends before its answer is handled; all marks are kept before the first listener runs; an error of one is logged, as in StoreMirror.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -114,11 +114,14 @@
         long sentAt = mTicker.nanoTime();
         mReadAt = sentAt;
         mStorage.readCancellations()
-                .onSuccess(listing -> onRead(listing, sentAt))
-                .onFailure(this::onReadFailed)
                 .onComplete(
                         done -> {
                             mReading = false;
+                            if (done.succeeded()) {
+                                onRead(done.result(), sentAt);
+                            } else {
+                                onReadFailed(done.cause());
+                            }
                             if (mReadAgain) {
                                 read();
                             }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobIndex.java
@@ -155,13 +155,24 @@
 
     /** Adds the cancellations that are newer than all that the watch has delivered. */
     void addCancellations(StoreListing listing) {
+        Set<String> changed = new HashSet<>();
         for (StoreEntry entry : listing.entries()) {
             if (entry.modRevision() > mRevision) {
                 String jobId = ServingKeys.Kind.CANCELLATION.name(entry.key());
                 mCancellationRevisions.put(jobId, entry.modRevision());
-                notifyListeners(jobId);
+                changed.add(jobId);
             }
         }
+        changed.forEach(this::notifyListenersSafely);
+    }
+
+    /** Notifies listeners; an error in one of them must not end what the caller does. */
+    private void notifyListenersSafely(String jobId) {
+        try {
+            notifyListeners(jobId);
+        } catch (RuntimeException e) {
+            LOG.error("step=job-index job={} outcome=listener-failed", jobId, e);
+        }
     }
 
     /**
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
@@ -51,4 +51,20 @@
         mView.check(true);
         assertFalse(mView.allowsSending());
     }
+
+    @Test
+    void failingListenerDoesNotEndTheReads() {
+        mIndex.addChangeListener(
+                jobId -> {
+                    throw new IllegalStateException("scripted");
+                });
+        cancel("job");
+        try {
+            run(CHECK_INTERVAL_MS, true);
+        } catch (IllegalStateException e) {
+            // The event loop reports it and goes on.
+        }
+        run(10_000, true);
+        assertTrue(mView.allowsSending());
+    }
 }
