Notify the indexed owner of a cancelled job while the store can't be read

Callers: a cancellation that is stored right before the store goes away was told to nobody; the owner goes on for the whole outage.

Cause: the owner is read from the store, and a failed read ended the attempt.

Why it works: the index names the owner unless it changed lately. The attempt counts as failed, so that the next one reads the store again.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -259,11 +259,12 @@
     /**
      * Makes the job's owner learn of the cancellation now. The owner is read from the store, since
      * this host's index may be older than the owner; nobody can become the owner of a job that is
-     * cancelled. Tried again a few times; an owner that is not reached learns by itself.
+     * cancelled. While the store is not readable it is that of the index. Tried again a few times;
+     * an owner that is not reached learns by itself.
      */
     private void notifyOwner(String jobId, int attempt) {
         mStorage.readOwner(jobId)
-                .compose(owner -> notify(jobId, owner))
+                .compose(owner -> notify(jobId, owner), e -> notifyIndexedOwner(jobId, e))
                 .onFailure(
                         e -> {
                             LOG.info(
@@ -280,6 +281,13 @@
                         });
     }
 
+    /** Notifies the owner that this host's index names, which may be an earlier one, and fails. */
+    private Future<Void> notifyIndexedOwner(String jobId, Throwable cause) {
+        JobCodec.Owner owner = mIndex.owner(jobId);
+        Future<Void> notified = owner == null ? Future.succeededFuture() : notify(jobId, owner);
+        return notified.transform(done -> Future.failedFuture(cause));
+    }
+
     private Future<Void> notify(String jobId, JobCodec.@Nullable Owner owner) {
         if (owner == null) {
             LOG.info("step=job-end job={} outcome=no-owner", jobId);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
@@ -154,6 +154,27 @@
         }
     }
 
+    @Test
+    void ownerIsNoticedWhileTheStoreAnswersNoReads() throws Exception {
+        JobHost owner = startHost("a", 0);
+        JobHost other = startHost("b", 0);
+        AtomicInteger notices = new AtomicInteger();
+        InetSocketAddress address = startPeerServer(notices);
+        accept(owner, "job");
+        read(
+                () -> {
+                    other.addPeer("a", NodeSettings.formatAddress(address));
+                    return true;
+                });
+        mStore.failNextLists(Integer.MAX_VALUE);
+        cancel(other, "job");
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_DELAY_MS);
+        while (notices.get() < 1) {
+            assertTrue(System.nanoTime() < end, "no notice");
+            Thread.sleep(20);
+        }
+    }
+
     @Test
     void jobWithTheIdOfACancelledOneKeepsItsOwner() throws Exception {
         JobHost owner = startHost("a", DEFERRED_WATCH_MS);
