Let no cancellation of an earlier job end a later one with the same id

Cause: the owner dropped the job for any cancellation in its index, also for one that the acceptance had deleted.

Evidence: CancelledJobTest#cancellationOfAnEarlierJobDoesNotEndALaterOneWithItsId failed without the comparison (the job does not run), passes now.

Why it works: acceptances and claims are written only while there is no mark, so one at an older revision than the owner's entry is of an earlier job.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
@@ -172,7 +172,8 @@
             List<JobItem> items,
             JobStorage.StoredResults results) {
         JobSummary indexed = mIndex.summary(jobId);
-        if (indexed == null || mIndex.isCancelled(jobId) || mStopping) {
+        boolean isCancelled = mIndex.cancellationRevision(jobId) > ownerRevision;
+        if (indexed == null || isCancelled || mStopping) {
             return;
         }
         JobProgress progress = new JobProgress(items, results.results(), results.failures());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -192,7 +192,9 @@
         }
         JobCodec.Owner currentOwner = mIndex.owner(jobId);
         boolean takenOver = currentOwner != null && currentOwner.revision() > job.ownerRevision();
-        if (mIndex.isCancelled(jobId)) {
+        // An older cancellation is that of an earlier job with the same id.
+        boolean isCancelled = mIndex.cancellationRevision(jobId) > job.ownerRevision();
+        if (isCancelled) {
             LOG.info(
                     "step=job-end job={} revision={} owner_revision={} index_revision={}"
                             + " index_age_ms={} outcome=known",
@@ -202,7 +204,7 @@
                     mIndex.revision(),
                     mIndex.ageMs());
         }
-        if (takenOver || mIndex.isCancelled(jobId)) {
+        if (takenOver || isCancelled) {
             mOwnedJobs.remove(job, takenOver ? "taken-over" : "ended");
         }
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobTest.java
@@ -25,6 +25,8 @@
 import org.sesamepin.node.serving.FreePorts;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.settings.NodeSettings;
+import org.sesamepin.node.spi.StoreEntry;
+import org.sesamepin.node.spi.StoreListing;
 
 /** Checks how soon the owner of a cancelled job stops to run it when nobody notifies it. */
 class CancelledJobTest {
@@ -175,6 +177,36 @@
         }
     }
 
+    private StoreListing listingWithoutJob() {
+        StoreListing all = mStore.list(ServingKeys.CONTROL_PREFIX).result();
+        List<StoreEntry> entries =
+                all.entries().stream()
+                        .filter(entry -> !entry.key().equals(ServingKeys.job("job")))
+                        .toList();
+        return new StoreListing(all.revision(), entries);
+    }
+
+    @Test
+    void cancellationOfAnEarlierJobDoesNotEndALaterOneWithItsId() throws Exception {
+        JobHost owner = startHost("a", DEFERRED_WATCH_MS);
+        accept(owner, "job");
+        cancel(owner, "job");
+        JobHost second = startHost("b", 0);
+        read(
+                () -> {
+                    second.stopWatching();
+                    second.index().onListing(listingWithoutJob(), false);
+                    return true;
+                });
+        assertTrue(read(() -> second.index().isCancelled("job")));
+        runOnEventLoop(
+                () ->
+                        new JobStorage(mStore, JobHost.MAX_VALUE_BYTES)
+                                .remove("job", owner.index().summaryRevision("job")));
+        accept(second, "job");
+        assertTrue(read(() -> second.runs("job")));
+    }
+
     @Test
     void jobWithTheIdOfACancelledOneKeepsItsOwner() throws Exception {
         JobHost owner = startHost("a", DEFERRED_WATCH_MS);
