Hold a cancelled job's items from the notice until the next read

Callers: a job that is cancelled right before the store goes away is run for the whole outage: a notice made the owner read the store only, and a failed read allows all items.

Cause: "while the store does not answer nobody can cancel a job" holds for cancellations after the last read only, not for those between it and the outage.

Evidence: CancellationViewTest#noticedJobWaitsForAReadAlsoWhileTheStoreIsAway failed without the hold (allowed 10 s after the notice), passes now.

Why it works: the notice names the job, so that no item of it is sent until a read that began after the notice tells whether it was cancelled. A notice for an earlier job with its id holds a later one for no longer than that. Other jobs go on.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -1,5 +1,7 @@
 package org.sesamepin.node.job;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.spi.StoreListing;
@@ -37,6 +39,7 @@
     private final JobStorage mStorage;
     private final JobIndex mIndex;
     private final Runnable mOnSendingAllowed;
+    private final Map<String, Long> mNoticedAt = new HashMap<>();
     private boolean mKnown;
     private long mKnownAt;
     private boolean mReading;
@@ -67,6 +70,14 @@
         return isAway || (mKnown && ageMs() <= MAX_AGE_MS);
     }
 
+    /**
+     * Returns whether an item of a job may be sent: not between the notice that the job was
+     * cancelled and the next read, which tells whether it was.
+     */
+    boolean allowsSending(String jobId) {
+        return !mNoticedAt.containsKey(jobId) && allowsSending();
+    }
+
     /** Returns the age of what this host knows, milliseconds; -1 before the first read. */
     long ageMs() {
         return mKnown ? elapsedMs(mKnownAt) : -1;
@@ -94,8 +105,9 @@
         mStoodStill |= elapsedMs(mCheckedAt) > MAX_CHECK_INTERVAL_MS;
     }
 
-    /** Reads the cancellations now, because there is a new one. */
-    void refresh() {
+    /** Reads the cancellations now, because another host says that it has cancelled a job. */
+    void onNotice(String jobId) {
+        mNoticedAt.put(jobId, mTicker.nanoTime());
         if (mReading) {
             // The read under way may have been answered before.
             mReadAgain = true;
@@ -132,6 +144,7 @@
         boolean wasAllowed = allowsSending();
         mKnown = true;
         mKnownAt = sentAt;
+        mNoticedAt.values().removeIf(noticedAt -> noticedAt - sentAt <= 0);
         setStoreAway(false, "");
         mIndex.addCancellations(listing);
         if (!wasAllowed) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -176,7 +176,7 @@
 
     @Override
     public boolean maySend() {
-        return mCancellations.allowsSending();
+        return mCancellations.allowsSending(mJob.id());
     }
 
     @Override
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -294,7 +294,7 @@
             return Future.succeededFuture();
         }
         if (owner.host().equals(mLease.host())) {
-            mRunner.fetchCancellations();
+            mRunner.onCancellationNotice(jobId);
             return Future.succeededFuture();
         }
         PeerTable.Peer peer = mPeers.find(owner.host());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -171,9 +171,9 @@
         mOnItemsWaiting.run();
     }
 
-    /** Learns of cancelled jobs now, because another host has cancelled one. */
-    public void fetchCancellations() {
-        mCancellations.refresh();
+    /** Sends no item of a job that another host says it has cancelled, and reads whether it was. */
+    public void onCancellationNotice(String jobId) {
+        mCancellations.onNotice(jobId);
     }
 
     private void checkCancellations() {
@@ -290,7 +290,7 @@
      * quarantine is over.
      */
     private int nextItem(OwnedJob job, TargetInstance target) {
-        if (!mCancellations.allowsSending()) {
+        if (!mCancellations.allowsSending(job.id())) {
             return -1;
         }
         long now = mContext.ticker().nanoTime();
@@ -317,7 +317,7 @@
     }
 
     private @Nullable ItemHold holdOf(OwnedJob job, int index) {
-        if (!mCancellations.allowsSending()) {
+        if (!mCancellations.allowsSending(job.id())) {
             return new ItemHold("cancellations-unknown", CANCELLATION_CHECK_INTERVAL_MS);
         }
         ServingRoute route = mContext.state().config().routeByName(job.summary().route());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -345,8 +345,9 @@
         server.registerHandler(
                 PeerRequest._Fields.JOB_NOTICE,
                 request -> {
-                    LOG.info("step=job job={} outcome=noticed", request.getJobNotice().getJobId());
-                    return runAndReply(mJobRunner::fetchCancellations);
+                    String jobId = request.getJobNotice().getJobId();
+                    LOG.info("step=job job={} outcome=noticed", jobId);
+                    return runAndReply(() -> mJobRunner.onCancellationNotice(jobId));
                 });
         server.registerHandler(
                 PeerRequest._Fields.JOB_READ,
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
@@ -67,4 +67,17 @@
         run(10_000, true);
         assertTrue(mView.allowsSending());
     }
+
+    @Test
+    void noticedJobWaitsForAReadAlsoWhileTheStoreIsAway() {
+        mStore.failNextLists(Integer.MAX_VALUE);
+        run(CHECK_INTERVAL_MS, true);
+        mView.onNotice("job");
+        run(10_000, true);
+        assertFalse(mView.allowsSending("job"));
+        assertTrue(mView.allowsSending("other"));
+        mStore.failNextLists(0);
+        run(1_000, true);
+        assertTrue(mView.allowsSending("job"));
+    }
 }
