List two faults of the bound on the view of cancellations as known

Seen in CancellationViewTest: reads that the store refuses (429) while it takes writes count as silence of the store, so that items are sent without a bound; reads that take longer than 1.5 s but succeed hold all items of the host for as long as that lasts.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancellationViewTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.Promise;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.spi.StoreTransaction;
@@ -80,4 +82,31 @@
         run(1_000, true);
         assertTrue(mView.allowsSending("job"));
     }
+
+    @Test
+    @Tag("known-red")
+    void refusedReadsAreNoOutageWhileWritesSucceed() {
+        run(CHECK_INTERVAL_MS, true);
+        mStore.failNextLists(Integer.MAX_VALUE);
+        cancel("job");
+        run(4_000, true);
+        assertFalse(mView.allowsSending() && !mIndex.isCancelled("job"));
+    }
+
+    @Test
+    @Tag("known-red")
+    void itemsGoOnWhileEachReadTakesLongerThanTheBound() {
+        long allowedMs = 0;
+        long end = mNowMs + 20_000;
+        while (mNowMs < end) {
+            Promise<Void> answer = mStore.holdNextList();
+            for (int i = 0; i < 12; i++) {
+                run(CHECK_INTERVAL_MS, true);
+                allowedMs += mView.allowsSending() ? CHECK_INTERVAL_MS : 0;
+            }
+            answer.complete();
+            allowedMs += mView.allowsSending() ? 1 : 0;
+        }
+        assertTrue(allowedMs > 0);
+    }
 }
