--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRequestHandler.java
@@ -284,8 +284,7 @@
     /** Notifies the owner that this host's index names, which may be an earlier one, and fails. */
     private Future<Void> notifyIndexedOwner(String jobId, Throwable cause) {
         JobCodec.Owner owner = mIndex.owner(jobId);
-        Future<Void> notified =
-                owner == null ? Future.succeededFuture() : notify(jobId, owner);
+        Future<Void> notified = owner == null ? Future.succeededFuture() : notify(jobId, owner);
         return notified.transform(done -> Future.failedFuture(cause));
     }
 
@@ -295,7 +294,7 @@
             return Future.succeededFuture();
         }
         if (owner.host().equals(mLease.host())) {
-            mRunner.fetchCancellations();
+            mRunner.onCancellationNotice(jobId);
             return Future.succeededFuture();
         }
         PeerTable.Peer peer = mPeers.find(owner.host());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -171,9 +171,9 @@
         mOnItemsWaiting.run();
     }
 
-    /** Learns of cancelled jobs now, because another host has cancelled one. */
-    public void fetchCancellations() {
-        mCancellations.refresh();
+    /** Sends no item of a job that another host says it has cancelled, and reads whether it was. */
+    public void onCancellationNotice(String jobId) {
+        mCancellations.onNotice(jobId);
     }
 
     private void checkCancellations() {
@@ -192,7 +192,9 @@
         }
         JobCodec.Owner currentOwner = mIndex.owner(jobId);
         boolean takenOver = currentOwner != null && currentOwner.revision() > job.ownerRevision();
-        if (mIndex.isCancelled(jobId)) {
+        // An older cancellation is that of an earlier job with the same id.
+        boolean isCancelled = mIndex.cancellationRevision(jobId) > job.ownerRevision();
+        if (isCancelled) {
             LOG.info(
                     "step=job-end job={} revision={} owner_revision={} index_revision={}"
                             + " index_age_ms={} outcome=known",
@@ -202,7 +204,7 @@
                     mIndex.revision(),
                     mIndex.ageMs());
         }
-        if (takenOver || mIndex.isCancelled(jobId)) {
+        if (takenOver || isCancelled) {
             mOwnedJobs.remove(job, takenOver ? "taken-over" : "ended");
         }
     }
@@ -288,7 +290,7 @@
      * quarantine is over.
      */
     private int nextItem(OwnedJob job, TargetInstance target) {
-        if (!mCancellations.allowsSending()) {
+        if (!mCancellations.allowsSending(job.id())) {
             return -1;
         }
         long now = mContext.ticker().nanoTime();
@@ -315,7 +317,7 @@
     }
 
     private @Nullable ItemHold holdOf(OwnedJob job, int index) {
-        if (!mCancellations.allowsSending()) {
+        if (!mCancellations.allowsSending(job.id())) {
             return new ItemHold("cancellations-unknown", CANCELLATION_CHECK_INTERVAL_MS);
         }
         ServingRoute route = mContext.state().config().routeByName(job.summary().route());
