Send items for a moment after a slow read of the cancellations

Callers: items of a host stop for good while each read of the cancellations takes longer than the age that is allowed: many pages, a relay, or too little processor time.

Cause: the age counts from when the read was sent, so such a read never allowed an item.

Why it works: the answer of a slow read allows items for 0.5 s, so the age stays bounded by what the store takes and that. A read during which the event loop stood still allows none.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -32,6 +32,9 @@
     /** Time for which a failed read counts, longer than the next one takes, milliseconds. */
     private static final long MAX_FAILURE_AGE_MS = 3_000;
 
+    /** Time for which a read that took longer than {@link #MAX_AGE_MS} allows items to be sent. */
+    private static final long SLOW_READ_GRACE_MS = 500;
+
     /** Time between two checks after which the event loop counts as having stood still. */
     private static final long MAX_CHECK_INTERVAL_MS = 600;
 
@@ -45,6 +48,8 @@
     private boolean mReading;
     private boolean mReadAgain;
     private long mReadAt;
+    private boolean mSlowRead;
+    private long mAnsweredAt;
     private boolean mStoreAway;
     private long mFailedAt;
     private long mCheckedAt;
@@ -67,7 +72,8 @@
     /** Returns whether an item may be sent by what this host knows now. */
     boolean allowsSending() {
         boolean isAway = mStoreAway && elapsedMs(mFailedAt) <= MAX_FAILURE_AGE_MS;
-        return isAway || (mKnown && ageMs() <= MAX_AGE_MS);
+        boolean isSlow = mSlowRead && elapsedMs(mAnsweredAt) <= SLOW_READ_GRACE_MS;
+        return isAway || isSlow || (mKnown && ageMs() <= MAX_AGE_MS);
     }
 
     /**
@@ -144,6 +150,9 @@
         boolean wasAllowed = allowsSending();
         mKnown = true;
         mKnownAt = sentAt;
+        recordStandstill();
+        mSlowRead = !mStoodStill && ageMs() > MAX_AGE_MS;
+        mAnsweredAt = mTicker.nanoTime();
         mNoticedAt.values().removeIf(noticedAt -> noticedAt - sentAt <= 0);
         setStoreAway(false, "");
         mIndex.addCancellations(listing);
