Count failed reads of cancellations as an outage only when the store answers nothing

Callers: an item of a cancelled job may reach a target while the reads of one host are refused, as for the rate of reads of a fleet that lists anew, though cancellations are stored.

Cause: one failed read of the cancellations counted as a store that is away.

Why it works: the lease is renewed each second; a store that has answered none for 2 s is away. At the start of an outage items stop for the time between the end of the view's 1.5 s and that, 1.3 s at most.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.spi.StoreListing;
 import org.slf4j.Logger;
@@ -14,7 +15,7 @@
  * host has items to send.
  *
  * <p>Rule: an item is sent only while this host knows all cancellations that the store had {@link
- * #MAX_AGE_MS} ago, or while the store does not answer, so that no job can be cancelled either.
+ * #MAX_AGE_MS} ago, or while the store answers nothing, so that no job can be cancelled either.
  * Confined to the event loop.
  */
 final class CancellationView {
@@ -35,12 +36,19 @@
     /** Time for which a read that took longer than {@link #MAX_AGE_MS} allows items to be sent. */
     private static final long SLOW_READ_GRACE_MS = 500;
 
+    /**
+     * Time after the last call that the store answered from which on failed reads show that it is
+     * away, milliseconds. Reads alone may be refused for their rate while others are answered.
+     */
+    private static final long MIN_STORE_SILENCE_MS = 2_000;
+
     /** Time between two checks after which the event loop counts as having stood still. */
     private static final long MAX_CHECK_INTERVAL_MS = 600;
 
     private final Ticker mTicker;
     private final JobStorage mStorage;
     private final JobIndex mIndex;
+    private final LongSupplier mStoreAnsweredAt;
     private final Runnable mOnSendingAllowed;
     private final Map<String, Long> mNoticedAt = new HashMap<>();
     private boolean mKnown;
@@ -58,12 +66,20 @@
     /**
      * Creates a view that knows nothing yet.
      *
+     * @param storeAnsweredAt when this host sent the latest other call that the store answered, a
+     *     reading of the monotonic clock in nanoseconds
      * @param onSendingAllowed runs when items may be sent again
      */
-    CancellationView(Ticker ticker, JobStorage storage, JobIndex index, Runnable onSendingAllowed) {
+    CancellationView(
+            Ticker ticker,
+            JobStorage storage,
+            JobIndex index,
+            LongSupplier storeAnsweredAt,
+            Runnable onSendingAllowed) {
         mTicker = ticker;
         mStorage = storage;
         mIndex = index;
+        mStoreAnsweredAt = storeAnsweredAt;
         mOnSendingAllowed = onSendingAllowed;
         mReadAt = ticker.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RETRY_INTERVAL_MS);
         mCheckedAt = ticker.nanoTime();
@@ -71,7 +87,10 @@
 
     /** Returns whether an item may be sent by what this host knows now. */
     boolean allowsSending() {
-        boolean isAway = mStoreAway && elapsedMs(mFailedAt) <= MAX_FAILURE_AGE_MS;
+        boolean isAway =
+                mStoreAway
+                        && elapsedMs(mFailedAt) <= MAX_FAILURE_AGE_MS
+                        && elapsedMs(mStoreAnsweredAt.getAsLong()) >= MIN_STORE_SILENCE_MS;
         boolean isSlow = mSlowRead && elapsedMs(mAnsweredAt) <= SLOW_READ_GRACE_MS;
         return isAway || isSlow || (mKnown && ageMs() <= MAX_AGE_MS);
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -87,7 +87,9 @@
         mIndex = index;
         mLease = lease;
         mRetentionMs = retentionMs;
-        mCancellations = new CancellationView(context.ticker(), storage, index, this::offerItems);
+        mCancellations =
+                new CancellationView(
+                        context.ticker(), storage, index, lease::renewedAt, this::offerItems);
         mPublisher = new ResultPublisher(context, storage, index, lease, mOwnedJobs);
         mClaimer = new JobClaimer(context, storage, index, lease, mOwnedJobs, this::add);
         mIdleItemMonitor = new IdleItemMonitor(context, index, lease, mOwnedJobs, this::holdOf);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/HostLease.java
@@ -101,6 +101,14 @@
         return mLeaseId;
     }
 
+    /**
+     * Returns when this host sent the latest renewal that the store confirmed, a reading of the
+     * monotonic clock in nanoseconds.
+     */
+    public long renewedAt() {
+        return mConfirmedAt;
+    }
+
     /**
      * Returns whether the store confirmed the lease within its time to live, so that it cannot have
      * expired.
