Play random histories of cancelled jobs and count the items that are sent too late

Rule: no item of a cancelled job is sent more than 2.5 s after the cancellation was acknowledged, by a host that was in touch with the store for the last 2.5 s.

CancelledJobFleetTest (70 hosts, deferred watches, one store in memory) counts the hosts that still run such a job. Histories: acceptances and cancellations at random hosts, within milliseconds, twice, with a lost answer; jobs with the same id anew; lost, deferred and silent watches; a slow, refusing or silent store for one or all; ended leases of owners that run on; lost and stopped hosts; preemption. Not played: a paused host among others that run.

ItemsWithoutStoreTest: items of jobs that nobody cancelled go on while the store is silent or refuses for 8 s, and all get done.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -19,6 +19,7 @@
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.serving.StoreMirror;
 import org.sesamepin.node.serving.WatchRateLimiter;
+import org.sesamepin.node.spi.WatchableStore;
 
 /**
  * The components of one host that accept and run jobs, on a store that the test supplies. There are
@@ -42,7 +43,7 @@
     /** Starts a host. */
     JobHost(
             Vertx vertx,
-            MemoryStore store,
+            WatchableStore store,
             String host,
             long incarnation,
             ServingConfig config,
@@ -107,6 +108,11 @@
         mFixture.peers().recordContact(name, true);
     }
 
+    /** Handles the notice of a peer that has cancelled a job. */
+    void handleCancellationNotice() {
+        mRunner.fetchCancellations();
+    }
+
     /** Makes the host receive no further changes from the store. */
     void stopWatching() {
         mMirror.close();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -102,12 +102,17 @@
     /** Submits a job as {@link #submitJob} does, and returns what became of it. */
     JobRequestHandler.Acceptance accept(int node, String jobId, List<String> parts)
             throws Exception {
+        return onLoop(() -> beginAccept(node, jobId, parts));
+    }
+
+    /** Submits a job as {@link #accept} does. Called on the event loop. */
+    Future<JobRequestHandler.Acceptance> beginAccept(int node, String jobId, List<String> parts) {
         List<JobItem> items = new ArrayList<>();
         for (int i = 0; i < parts.size(); i++) {
             Map<String, String> headers = Map.of("Part", parts.get(i));
             items.add(new JobItem(jobId + i, "/batch/x", headers, new byte[] {1}, 1));
         }
-        return onLoop(() -> mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items));
+        return mNodes.get(node).jobs().accept(jobId, "c", mBatchRoute, items);
     }
 
     /** Cancels a job through a node, unless the store does not take the cancellation. */
@@ -230,7 +235,7 @@
                             new ServingNode(
                                     mVertx,
                                     newSettings(name),
-                                    new PlainProtocol(mConfig),
+                                    new PlainProtocol(mConfig, name),
                                     mStoreOfNode.apply(name),
                                     new IgnoringListener());
                     mNodes.add(node);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -13,15 +13,26 @@
 import org.sesamepin.node.http.Problem;
 
 /**
- * A protocol with the headers Id, After, Part, Signed, Not-Run, Events, Leaving and Mark, whose
- * stored configuration is only a version of one that is given, and whose targets register as {@link
- * StandInTargets} does.
+ * A protocol with the headers Id, From, After, Part, Signed, Not-Run, Events, Leaving and Mark,
+ * whose stored configuration is only a version of one that is given, and whose targets register as
+ * {@link StandInTargets} does.
  */
 final class PlainProtocol implements FleetProtocol {
     private final ServingConfig mConfig;
+    private final String mSender;
 
     PlainProtocol(ServingConfig config) {
+        this(config, "");
+    }
+
+    /**
+     * Creates the protocol of one host.
+     *
+     * @param sender name that targets receive with each request; may be empty
+     */
+    PlainProtocol(ServingConfig config, String sender) {
         mConfig = config;
+        mSender = sender;
     }
 
     @Override
@@ -63,6 +74,7 @@
             long budgetMs,
             @Nullable String resumeAfter) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Id", head.id());
+        headers.add("From", mSender);
         headers.add("Part", head.prompt().shared());
         return resumeAfter == null ? headers : headers.add("After", resumeAfter);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.WatchableStore;
@@ -45,6 +46,7 @@
     private long mFirstEventMs = EVENT_INTERVAL_MS;
     private long mEventIntervalMs = EVENT_INTERVAL_MS;
     private final Set<String> mLeaving = new HashSet<>();
+    private Consumer<HttpServerRequest> mOnArrival = request -> {};
     private int mBreakAfterEvents;
     private int mStarted;
 
@@ -84,6 +86,7 @@
                 request.headers().getAll("Part").stream().anyMatch(mBadParts::contains);
         boolean hasBadHead = hasBadPart || mBadRequestId.equals(request.getHeader("Id"));
         mArrivalNanos.computeIfAbsent(id, i -> new ArrayList<>()).add(System.nanoTime());
+        mOnArrival.accept(request);
         request.body()
                 .onSuccess(
                         body -> {
@@ -170,6 +173,11 @@
         mBreakAfterEvents = events;
     }
 
+    /** Sets what is called with each request that reaches a target. */
+    void setOnArrival(Consumer<HttpServerRequest> onArrival) {
+        mOnArrival = onArrival;
+    }
+
     /** Lets a target say in its answers that it leaves, while its registration stays as it is. */
     void leave(String id) {
         mLeaving.add(id);
