Do not send items by an outage of the store that was seen before a pause

Callers could see items of jobs that they had cancelled long ago: a read of the cancellations that failed allowed sending until the next read succeeded, however long ago it had failed. A process that was paused during an outage, or that had no items for a while after one, sent at once by it when it went on, though the store was back and jobs had been cancelled meanwhile.

A failed read now counts for 2.2 s: longer than the next read needs to fail (0.2 s to the next check, up to 1.8 s through a peer), so that an outage still stops nothing.

CancellationViewTest#outageBeforeAPauseAllowsNothingAfterIt failed before ("expected: <false> but was: <true>") and passes now. Its other cases, an event loop that stands still for 1.25, 1.5 and 3 s around a read whose answer had arrived, passed before, too: such a read does not count as an outage.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -27,6 +27,12 @@
     /** Interval between two reads while the store does not answer, milliseconds. */
     private static final long RETRY_INTERVAL_MS = 500;
 
+    /**
+     * Time after a failed read in which the store counts as away, milliseconds. The next read may
+     * take nearly two seconds to fail, since it is tried through a peer, too.
+     */
+    private static final long MAX_AWAY_MS = 2_200;
+
     /** Time between two checks after which the event loop counts as having stood still. */
     private static final long MAX_CHECK_INTERVAL_MS = 600;
 
@@ -40,6 +46,7 @@
     private boolean mReadAgain;
     private long mReadAt;
     private boolean mStoreAway;
+    private long mFailedAt;
     private long mCheckedAt;
     private boolean mStoodStill;
 
@@ -59,7 +66,8 @@
 
     /** Returns whether an item may be sent by what this host knows now. */
     boolean allowsSending() {
-        return mStoreAway || (mKnown && ageMs() <= MAX_AGE_MS);
+        boolean isStoreAway = mStoreAway && elapsedMs(mFailedAt) <= MAX_AWAY_MS;
+        return isStoreAway || (mKnown && ageMs() <= MAX_AGE_MS);
     }
 
     /** Returns the age of what this host knows, milliseconds; -1 before the first read. */
@@ -135,6 +143,7 @@
     private void onReadFailed(Throwable e) {
         recordStandstill();
         if (!mStoodStill) {
+            mFailedAt = mTicker.nanoTime();
             setStoreAway(true, String.valueOf(e.getMessage()));
         }
     }
