--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -30,8 +30,11 @@
     /** Interval between two reads while the store does not answer, milliseconds. */
     private static final long RETRY_INTERVAL_MS = 500;
 
-    /** Time for which a failed read counts, longer than the next one takes, milliseconds. */
-    private static final long MAX_FAILURE_AGE_MS = 3_000;
+    /**
+     * Time for which a failed read counts, milliseconds. The next one may take nearly two seconds
+     * to fail, since it is tried through a peer, too.
+     */
+    private static final long MAX_FAILURE_AGE_MS = 2_200;
 
     /** Time for which a read that took longer than {@link #MAX_AGE_MS} allows items to be sent. */
     private static final long SLOW_READ_GRACE_MS = 500;
