Name the job in the notices of the fleet of cancelled jobs

The tests of the node did not compile after the notice of a cancellation had got the job's id: JobHost called a method that is gone (javac: cannot find symbol fetchCancellations).

--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobFleetTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/CancelledJobFleetTest.java
@@ -146,7 +146,7 @@
         server.registerHandler(
                 PeerRequest._Fields.JOB_NOTICE,
                 request -> {
-                    host.handleCancellationNotice();
+                    host.handleCancellationNotice(request.getJobNotice().getJobId());
                     return Future.succeededFuture(PeerReply.done(new Done()));
                 });
         runOnEventLoop(server::start);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/JobHost.java
@@ -109,8 +109,8 @@
     }
 
     /** Handles the notice of a peer that has cancelled a job. */
-    void handleCancellationNotice() {
-        mRunner.fetchCancellations();
+    void handleCancellationNotice(String jobId) {
+        mRunner.onCancellationNotice(jobId);
     }
 
     /** Makes the host receive no further changes from the store. */
