Send no item by a read of the cancellations older than 2.5 s

Callers: an item of a cancelled job may be sent by a read that took 3.6 s (two pages, each through a peer).

Cause: a slow read allowed items for 0.5 s whatever its age.

Evidence: SlowCancellationReadTest, listed as known to fail before.

Why it works: the age is bounded in each case; while all reads take longer, items wait.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/CancellationView.java
@@ -39,6 +39,9 @@
     /** Time for which a read that took longer than {@link #MAX_AGE_MS} allows items to be sent. */
     private static final long SLOW_READ_GRACE_MS = 500;
 
+    /** Age beyond which no item is sent even after a slow read, milliseconds. */
+    private static final long MAX_SLOW_AGE_MS = 2_500;
+
     /**
      * Time after the last call that the store answered from which on failed reads show that it is
      * away, milliseconds. Reads alone may be refused for their rate while others are answered.
@@ -94,7 +97,10 @@
                 mStoreAway
                         && elapsedMs(mFailedAt) <= MAX_FAILURE_AGE_MS
                         && elapsedMs(mStoreAnsweredAt.getAsLong()) >= MIN_STORE_SILENCE_MS;
-        boolean isSlow = mSlowRead && elapsedMs(mAnsweredAt) <= SLOW_READ_GRACE_MS;
+        boolean isSlow =
+                mSlowRead
+                        && elapsedMs(mAnsweredAt) <= SLOW_READ_GRACE_MS
+                        && ageMs() <= MAX_SLOW_AGE_MS;
         return isAway || isSlow || (mKnown && ageMs() <= MAX_AGE_MS);
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/SlowCancellationReadTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/SlowCancellationReadTest.java
@@ -4,7 +4,6 @@
 
 import io.vertx.core.Promise;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Checks by how old a read of the cancellations items are sent when the read takes long. */
@@ -18,7 +17,6 @@
     private long mNowNanos = 1;
 
     /** A read of two pages, each through a peer, tells nothing of the time since it was sent. */
-    @Tag("known-red")
     @Test
     void noItemIsSentByAReadThatTookTooLong() {
         MemoryStore store = new MemoryStore();
