--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -43,6 +43,7 @@
     private final ServingRoute mRoute;
     private final TargetInstance mTarget;
     private final ItemRunTimes mRunTimes;
+    private final CancellationView mCancellations;
     private final Runnable mOnEnd;
     private final TargetAttempt mAttempt;
     private final PromptParts mPrompt;
@@ -60,6 +61,7 @@
             ServingRoute route,
             TargetInstance target,
             ItemRunTimes runTimes,
+            CancellationView cancellations,
             Runnable onEnd) {
         mContext = context;
         mJob = job;
@@ -67,6 +69,7 @@
         mRoute = route;
         mTarget = target;
         mRunTimes = runTimes;
+        mCancellations = cancellations;
         mOnEnd = onEnd;
         JobItem item = job.progress().item(index);
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(item.headers());
@@ -126,7 +129,8 @@
         mJob.runs().put(mIndex, this);
         LOG.info(
                 "step=place request={} job={} route={} customer={} target={} version={}"
-                        + " prompt_parts={} resume_after={} held_events={} config_version={}",
+                        + " prompt_parts={} resume_after={} held_events={} config_version={}"
+                        + " cancellations_age_ms={}",
                 itemId(),
                 mJob.id(),
                 mRoute.name(),
@@ -136,7 +140,8 @@
                 mPrompt.label(),
                 mResumeAfter,
                 progress().lastEventId(mIndex),
-                mContext.state().config().version());
+                mContext.state().config().version(),
+                mCancellations.ageMs());
         mBudgetTimer =
                 mContext.vertx()
                         .setTimer(ITEM_BUDGET_MS + BUDGET_MARGIN_MS, t -> mAttempt.interrupt());
@@ -169,6 +174,11 @@
         return progress().item(mIndex).id();
     }
 
+    @Override
+    public boolean maySend() {
+        return mCancellations.allowsSending();
+    }
+
     @Override
     public void onSent() {}
 
