Refuse an HTTP/1.0 answer with two different lengths

A caller got an answer of a target with two different lengths as whole (200): Netty's decoder refuses a second Content-Length in HTTP/1.1 only; in HTTP/1.0 it keeps the first, before the codec sees the head. The headers of received messages now refuse the second one as they are filled, so both versions fail the same way: 502, and the connection ends.

UnaskedAnswerTest#answerWithTwoLengthsNeverLooksWhole failed for both HTTP/1.0 forms (200 where 502 is expected), also with a check of the decoded head, which came too late. Whole modules not run.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -73,6 +73,7 @@
                 .setMaxInitialLineLength(options.getMaxInitialLineLength())
                 .setMaxHeaderSize(options.getMaxHeaderSize())
                 .setMaxChunkSize(options.getMaxChunkSize())
+                .setHeadersFactory(new OneLengthHeadersFactory())
                 .setInitialBufferSize(options.getDecoderInitialBufferSize());
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnaskedAnswerTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/UnaskedAnswerTest.java
@@ -14,7 +14,6 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,7 +37,6 @@
     }
 
     /** Guards against an answer with two lengths, of which one makes it look whole. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(
             strings = {
