--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -150,6 +150,11 @@
         return mListener.onSilence();
     }
 
+    @Override
+    public void onProgressAfterSilence() {
+        mListener.onProgressAfterSilence();
+    }
+
     @Override
     public void onInterrupted(String reason) {
         pass(() -> mListener.onInterrupted(reason));
