Serve through peers when a host is cut off from all targets

Cause: every way to a target was a direct connection of the host itself, and each failure on it counted as one of the target, for this host and, once two hosts reported it, for all.

A connection that fails or is late has a tunnel through a peer opened beside it; a host that is cut off goes through peers first and probes its own path several times a second. Nothing of a request is sent before its connection is open, so nothing runs twice by this. One host handles key, rate, slot, version and resumption as before, since the peer passes on bytes to targets of its own registry only. Failures of a host that is cut off are not those of targets, and an end of a target is confirmed first. Where no peer helps, the request is refused at once.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
@@ -29,6 +29,17 @@
         return best;
     }
 
+    /**
+     * Returns a score of {@code host} for {@code key}. The host with the highest score owns the
+     * key; each owns a part of the keys in proportion to its weight.
+     *
+     * @param weight size of the host relative to the others, above 0
+     */
+    public static double weightedScore(String key, String host, double weight) {
+        double fraction = ((score(key, host) >>> 11) + 0.5) / (1L << 53);
+        return -weight / Math.log(fraction);
+    }
+
     /** Returns the weight of {@code host} for {@code key}, an unsigned number. */
     static long score(String key, String host) {
         return HASH.hashBytes((host + '\n' + key).getBytes(StandardCharsets.UTF_8));
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
@@ -65,6 +65,13 @@
         return targets.stream().filter(target -> target.version().equals(version)).toList();
     }
 
+    /** Returns the registered target of an incarnation, whatever its state; null for none. */
+    public @Nullable TargetInstance findIncarnation(String incarnation) {
+        int at = incarnation.lastIndexOf('@');
+        TargetInstance target = at < 0 ? null : mById.get(incarnation.substring(0, at));
+        return target != null && target.incarnation().equals(incarnation) ? target : null;
+    }
+
     /**
      * Returns whether this incarnation of the target is registered, with the same service and
      * version, and accepts requests.
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerServer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerServer.java
@@ -2,14 +2,17 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TException;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.node.FatalErrors;
@@ -17,6 +20,8 @@
 import org.sesamepin.node.peer.generated.PeerFrame;
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
+import org.sesamepin.node.tunnel.TunnelProtocol;
+import org.sesamepin.node.tunnel.TunnelServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +35,7 @@
     private final InetSocketAddress mAddress;
     private final Map<PeerRequest._Fields, PeerHandler> mHandlers =
             new EnumMap<>(PeerRequest._Fields.class);
+    private @Nullable TunnelServer mTunnels;
 
     /** Creates a server for {@code address}; {@link #start} starts listening. */
     public PeerServer(Vertx vertx, InetSocketAddress address) {
@@ -49,9 +55,20 @@
         return mServer.listen(mAddress.getPort(), mAddress.getHostString()).mapEmpty();
     }
 
+    /** Lets peers connect to targets through this node; to be called before {@link #start}. */
+    public void registerTunnels(TunnelServer tunnels) {
+        mTunnels = tunnels;
+    }
+
     private void onConnection(NetSocket socket) {
-        Runnable onInvalidFrame = () -> socket.close();
-        socket.handler(FrameCodec.parser(frame -> handleRequest(socket, frame), onInvalidFrame));
+        Buffer received = Buffer.buffer();
+        socket.handler(
+                part -> {
+                    received.appendBuffer(part);
+                    if (received.length() >= TunnelProtocol.MAGIC_BYTES) {
+                        onFirstBytes(socket, received);
+                    }
+                });
         socket.exceptionHandler(
                 e -> {
                     FatalErrors.endProcessIfFatal(e);
@@ -59,6 +76,19 @@
                 });
     }
 
+    private void onFirstBytes(NetSocket socket, Buffer received) {
+        TunnelServer tunnels = mTunnels;
+        if (tunnels != null && TunnelProtocol.isTunnel(received)) {
+            tunnels.accept(socket, received);
+            return;
+        }
+        Runnable onInvalidFrame = () -> socket.close();
+        RecordParser parser =
+                FrameCodec.parser(frame -> handleRequest(socket, frame), onInvalidFrame);
+        socket.handler(parser);
+        parser.handle(received);
+    }
+
     private void handleRequest(NetSocket socket, PeerFrame frame) {
         PeerRequest request = frame.getRequest();
         PeerHandler handler = request == null ? null : mHandlers.get(request.getSetField());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -64,6 +64,7 @@
      * Creates a guard that knows of no bad prompt.
      *
      * @param identity what the ids of targets identify
+     * @param endConfirmation decides whether a target that refuses connections has ended
      */
     public PromptGuard(
             Vertx vertx,
@@ -71,6 +72,7 @@
             PromptSuspects.TargetIdentity identity,
             HostDirectory hosts,
             PeerClient peerClient,
+            EndConfirmation endConfirmation,
             QuarantineStorage storage) {
         mVertx = vertx;
         mTicker = ticker;
@@ -78,7 +80,7 @@
         mPeerClient = peerClient;
         mStartedAt = ticker.nanoTime();
         mSuspects = new PromptSuspects(identity, ticker.nanoTime());
-        mDetector = new TargetEndDetector(vertx, this::onTargetEnd);
+        mDetector = new TargetEndDetector(vertx, endConfirmation, this::onTargetEnd);
         mQuarantineStore =
                 new PromptQuarantineStore(
                         vertx,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/SharedPromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/SharedPromptGuard.java
@@ -51,6 +51,7 @@
                         PromptSuspects.TargetIdentity.NAME,
                         hosts,
                         peerClient,
+                        lost -> Future.succeededFuture(true),
                         confined);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
@@ -45,14 +45,21 @@
 
     private final Vertx mVertx;
     private final NetClient mClient;
+    private final EndConfirmation mConfirmation;
     private final Consumer<TargetEnd> mOnEnd;
     private final Map<String, List<TargetEnd.Run>> mLostRuns = new HashMap<>();
 
-    /** Creates a detector; {@code onEnd} receives each end of a target. */
-    TargetEndDetector(Vertx vertx, Consumer<TargetEnd> onEnd) {
+    /**
+     * Creates a detector.
+     *
+     * @param confirmation decides whether a target that refuses connections has ended
+     * @param onEnd receives each end of a target
+     */
+    TargetEndDetector(Vertx vertx, EndConfirmation confirmation, Consumer<TargetEnd> onEnd) {
         mVertx = vertx;
         mClient =
                 vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+        mConfirmation = confirmation;
         mOnEnd = onEnd;
     }
 
@@ -74,7 +81,24 @@
                             socket.close();
                             finish(target, Outcome.REACHABLE);
                         })
-                .onFailure(e -> finish(target, isRefusal(e) ? Outcome.ENDED : Outcome.UNKNOWN));
+                .onFailure(
+                        e -> {
+                            if (isRefusal(e)) {
+                                confirm(target);
+                            } else {
+                                finish(target, Outcome.UNKNOWN);
+                            }
+                        });
+    }
+
+    private void confirm(LostTarget target) {
+        mConfirmation
+                .hasEnded(target)
+                .onComplete(
+                        done -> {
+                            boolean ended = done.succeeded() && done.result();
+                            finish(target, ended ? Outcome.ENDED : Outcome.UNKNOWN);
+                        });
     }
 
     private static boolean isRefusal(Throwable e) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -389,6 +389,11 @@
         run(() -> apply(mPolicy.onNotExecuted(wasSent, now()), reason));
     }
 
+    @Override
+    public void onNoPath(String reason) {
+        run(() -> apply(mPolicy.onNoTarget(), reason));
+    }
+
     @Override
     public boolean onSilence() {
         return mPolicy.mayEndSilentRun();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -151,6 +151,11 @@
         return inFlight;
     }
 
+    /** Forgets the failures of all targets, since they were those of this host's network path. */
+    void forgetFailures() {
+        mLoads.values().forEach(TargetLoad::recordSuccess);
+    }
+
     /** Returns the incarnations of the targets that recently failed requests of this host. */
     public List<String> failingTargets() {
         long now = mTicker.nanoTime();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingContext.java
@@ -14,7 +14,8 @@
  * @param state configuration and targets
  * @param loads loads of the targets
  * @param placementClient client that places requests on targets
- * @param targetClient connections to targets
+ * @param targetClient HTTP client for targets
+ * @param connector opens requests to targets, directly or through peers
  * @param rateLimiter rate limits of the customers
  * @param promptGuard quarantine of prompts under which targets ended
  * @param loopLag how long requests may have waited to be read
@@ -29,6 +30,7 @@
         LoadTable loads,
         PlacementClient placementClient,
         TargetClient targetClient,
+        TargetConnector connector,
         CustomerRateLimiter rateLimiter,
         PromptGuard promptGuard,
         EventLoopLag loopLag,
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -26,7 +26,6 @@
 import org.sesamepin.node.settings.NodeSettings;
 import org.sesamepin.node.spi.WatchableStore;
 import org.sesamepin.node.stream.StoredStreamOrigins;
-import org.sesamepin.node.target.TargetClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -69,6 +68,7 @@
     private final RegisteredHosts mHosts;
     private final PeerClient mPeerClient;
     private final LoadTable mLoads;
+    private final TargetAccess mTargetAccess;
     private final CustomerRateLimiter mRateLimiter;
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
@@ -108,6 +108,7 @@
         mHosts = new RegisteredHosts(mPeers);
         mPeerClient = mCloser.add(new PeerClient(vertx));
         mLoads = new LoadTable(mTicker);
+        mTargetAccess = mCloser.add(new TargetAccess(vertx, mTicker, mState, mLoads, mPeers));
         mRateLimiter = new CustomerRateLimiter(mTicker, mState, mPeers, mPeerClient);
         mStoreRelay = new PeerStoreRelay(mPeers, mPeerClient, store, settings.seeds());
         store.setPeerRelay(mStoreRelay::callThroughPeer);
@@ -191,6 +192,7 @@
                         PromptSuspects.TargetIdentity.INCARNATION,
                         mHosts,
                         mPeerClient,
+                        mTargetAccess::hasEnded,
                         new QuarantineStorage(
                                 ServingKeys.promptQuarantinePrefix(), store::commit)));
     }
@@ -239,7 +241,8 @@
                 mState,
                 mLoads,
                 mPlacementClient,
-                mCloser.add(new TargetClient(mVertx)),
+                mTargetAccess.client(),
+                mTargetAccess.connector(),
                 mRateLimiter,
                 mPromptGuard,
                 mLoopLag,
@@ -305,6 +308,7 @@
     public Future<Void> start() {
         PeerServer server = mCloser.add(new PeerServer(mVertx, mSettings.peerAddress()));
         registerPeerHandlers(server);
+        server.registerTunnels(mTargetAccess.tunnelServer());
         HealthServer healthServer = new HealthServer(mVertx, mState, mMetrics);
         registerGauges();
         mLoopLag.start();
@@ -389,6 +393,7 @@
     }
 
     private void registerGauges() {
+        mTargetAccess.registerMetrics(mMetrics);
         mMetrics.gauge(
                 "sesamepin_config_version",
                 "Configuration in force.",
@@ -466,7 +471,8 @@
 
     private Future<Void> awaitDrained(CallHandler calls, long startedAt) {
         long elapsed = TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - startedAt);
-        boolean drained = calls.runningCalls() == 0 && elapsed >= BALANCER_LAG_MS;
+        boolean isIdle = calls.runningCalls() == 0 && !mTargetAccess.hasTunnels();
+        boolean drained = isIdle && elapsed >= BALANCER_LAG_MS;
         if (drained || elapsed >= callTimeMs()) {
             LOG.info(
                     "step=stopped host={} running={} ms={}",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -140,6 +140,11 @@
         pass(() -> mListener.onNotExecuted(wasSent, reason));
     }
 
+    @Override
+    public void onNoPath(String reason) {
+        pass(() -> mListener.onNoPath(reason));
+    }
+
     @Override
     public boolean onSilence() {
         return mListener.onSilence();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -54,6 +54,11 @@
          */
         void onNotExecuted(boolean wasSent, String reason);
 
+        /** This host and its peers reach no target now; the target did not run the request. */
+        default void onNoPath(String reason) {
+            onNotExecuted(false, reason);
+        }
+
         /**
          * The target has sent nothing for the idle timeout.
          *
@@ -162,10 +167,22 @@
                                                 mPlan.customer(),
                                                 mPlan.budgetMs(),
                                                 mPlan.resumeAfter()));
-        mContext.targetClient()
-                .open(mTarget.id(), mPlan.head().id(), options, !mPlan.newConnection())
+        mContext.connector()
+                .open(mTarget, mPlan.head().id(), options, !mPlan.newConnection())
                 .onSuccess(guarded(this::onConnected))
-                .onFailure(e -> endNotExecuted(true, String.valueOf(e.getMessage())));
+                .onFailure(this::endNotOpened);
+    }
+
+    private void endNotOpened(Throwable e) {
+        String reason = String.valueOf(e.getMessage());
+        if (mContext.connector().isFailureOfTarget(e)) {
+            endNotExecuted(true, reason);
+            return;
+        }
+        if (!mEnded) {
+            end();
+            mListener.onNoPath(reason);
+        }
     }
 
     /** Returns {@code step} such that a failure that it does not expect ends the attempt. */
@@ -226,6 +243,7 @@
     }
 
     private void onIdle() {
+        mContext.connector().recordUnresponsive();
         if (mListener.onSilence()) {
             endInterrupted("no data received for " + mPlan.idleTimeoutMs() + " ms");
         }
@@ -388,7 +406,8 @@
         if (mEnded) {
             return;
         }
-        if (mContext.state().targets().isReady(mTarget)) {
+        mContext.connector().recordUnresponsive();
+        if (mContext.state().targets().isReady(mTarget) && isFailureOfTarget()) {
             LostTarget lost =
                     new LostTarget(mTarget.service(), mTarget.incarnation(), mTarget.address());
             mContext.promptGuard().recordLostRun(lost, mPlan.head().prompt(), mEventCount);
@@ -401,11 +420,18 @@
             return;
         }
         end();
-        mLoad.recordFailure(ticker().nanoTime());
+        if (isFailureOfTarget()) {
+            mLoad.recordFailure(ticker().nanoTime());
+        }
         resetRequest();
         mListener.onInterrupted(reason);
     }
 
+    private boolean isFailureOfTarget() {
+        HttpClientRequest request = mRequest;
+        return request == null || mContext.connector().isFailureOfTarget(request);
+    }
+
     /** Ends the attempt as interrupted, because the target has exceeded its budget. */
     public void interrupt() {
         endInterrupted("not complete within " + mPlan.budgetMs() + " ms");
--- a/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/target/TargetClient.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.net.InetSocketAddress;
 import java.util.Collections;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -65,10 +66,16 @@
 
     /** Returns the options of a request to {@code target}: method, address and URI. */
     public static RequestOptions requestOptions(Target target, HttpMethod method, String uri) {
+        return requestOptions(target.address(), method, uri);
+    }
+
+    /** Returns the options of a request to {@code address}: method, address and URI. */
+    public static RequestOptions requestOptions(
+            InetSocketAddress address, HttpMethod method, String uri) {
         return new RequestOptions()
                 .setMethod(method)
-                .setHost(target.address().getHostString())
-                .setPort(target.address().getPort())
+                .setHost(address.getHostString())
+                .setPort(address.getPort())
                 .setURI(uri);
     }
 
@@ -124,6 +131,11 @@
         return open(name, requestId, options, false);
     }
 
+    /** Returns whether no request was sent on the connection of {@code request} before. */
+    public boolean isNew(HttpClientRequest request) {
+        return !mUsedConnections.contains(request.connection());
+    }
+
     /**
      * Records that a request is being sent on its connection.
      *
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobResult;
@@ -54,6 +56,8 @@
     private int mRequests;
     private int mStartedNodes;
     private Function<String, WatchableStore> mStoreOfNode = node -> mStore;
+    private BiFunction<String, InetSocketAddress, InetSocketAddress> mPaths =
+            (node, target) -> target;
 
     LoopbackFleet(RouteKind kind, Set<String> badParts) {
         this(kind, badParts, StandInTargets.SLOTS);
@@ -157,6 +161,11 @@
         mStoreOfNode = storeOfNode;
     }
 
+    /** Sets at which address each node finds the target that listens at a given one. */
+    void setPaths(BiFunction<String, InetSocketAddress, InetSocketAddress> paths) {
+        mPaths = paths;
+    }
+
     /** Writes a version of the configuration to the store. */
     void writeConfig(long version) throws Exception {
         onLoop(() -> mStore.commit(new StoreTransaction().put("config/c", "" + version)));
@@ -230,7 +239,8 @@
                             new ServingNode(
                                     mVertx,
                                     newSettings(name),
-                                    new PlainProtocol(mConfig),
+                                    new PlainProtocol(
+                                            mConfig, address -> mPaths.apply(name, address)),
                                     mStoreOfNode.apply(name),
                                     new IgnoringListener());
                     mNodes.add(node);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -3,8 +3,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
@@ -19,9 +21,20 @@
  */
 final class PlainProtocol implements FleetProtocol {
     private final ServingConfig mConfig;
+    private final UnaryOperator<InetSocketAddress> mPath;
 
     PlainProtocol(ServingConfig config) {
+        this(config, address -> address);
+    }
+
+    /**
+     * Creates a protocol.
+     *
+     * @param path returns the address at which the host finds a target that listens at another one
+     */
+    PlainProtocol(ServingConfig config, UnaryOperator<InetSocketAddress> path) {
         mConfig = config;
+        mPath = path;
     }
 
     @Override
@@ -52,7 +65,17 @@
 
     @Override
     public TargetInstance decodeTarget(String key, byte[] value) {
-        return StandInTargets.decode(new String(value, StandardCharsets.UTF_8));
+        TargetInstance target = StandInTargets.decode(new String(value, StandardCharsets.UTF_8));
+        return new TargetInstance(
+                target.id(),
+                target.startedAtMs(),
+                target.service(),
+                target.version(),
+                mPath.apply(target.address()),
+                target.failureDomain(),
+                target.slots(),
+                target.state(),
+                target.warmUpMs());
     }
 
     @Override
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -1,5 +1,6 @@
 package org.sesamepin.node.serving;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.Map;
 import java.util.Random;
@@ -25,6 +26,7 @@
     private final PeerTable mPeers = new PeerTable(Ticker.SYSTEM, "self", 1);
     private final ServingState mState = new ServingState();
     private final ServingContext mContext;
+    private final TargetReachability mReachability;
 
     /** Creates the components. */
     public ServingFixture(Vertx vertx) {
@@ -40,6 +42,7 @@
         mPeerClient = new PeerClient(vertx);
         mTargetClient = new TargetClient(vertx);
         LoadTable loads = new LoadTable(Ticker.SYSTEM);
+        mReachability = new TargetReachability(vertx, Ticker.SYSTEM, mState, loads);
         ServingMetrics metrics = new ServingMetrics();
         TargetSelector targetSelector = new TargetSelector(loads::loadOf, "a", new Random(1));
         PlacementClient placementClient =
@@ -62,6 +65,7 @@
                         loads,
                         placementClient,
                         mTargetClient,
+                        newConnector(vertx),
                         new CustomerRateLimiter(Ticker.SYSTEM, mState, mPeers, mPeerClient),
                         new PromptGuard(
                                 vertx,
@@ -69,6 +73,7 @@
                                 PromptSuspects.TargetIdentity.INCARNATION,
                                 new RegisteredHosts(mPeers),
                                 mPeerClient,
+                                lost -> Future.succeededFuture(true),
                                 new QuarantineStorage(
                                         ServingKeys.promptQuarantinePrefix(),
                                         new MemoryStore()::commit)),
@@ -77,6 +82,14 @@
                         metrics);
     }
 
+    private TargetConnector newConnector(Vertx vertx) {
+        return new TargetConnector(
+                vertx,
+                mTargetClient,
+                new PeerTunnels(vertx, Ticker.SYSTEM, mPeers, mTargetClient),
+                mReachability);
+    }
+
     public ServingContext context() {
         return mContext;
     }
@@ -95,6 +108,7 @@
 
     @Override
     public void close() {
+        mReachability.close();
         mTargetClient.close();
         mPeerClient.close();
     }
