Merge hosts that are cut off from targets

A silence of a host that is cut off is no failure of its target; a call without any path goes on with its silent attempt if it has one.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
@@ -219,6 +219,12 @@
             }
         }
 
+        @Override
+        public void onNoPath(String reason) {
+            cancelOverlapTimer();
+            mCall.onNoPath(reason);
+        }
+
         @Override
         public void onInterrupted(String reason) {
             if (isSilent()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -386,6 +386,11 @@
         run(() -> apply(mPolicy.onNotExecuted(wasSent, now()), reason));
     }
 
+    @Override
+    public void onNoPath(String reason) {
+        run(() -> apply(mPolicy.onNoTarget(), reason));
+    }
+
     @Override
     public void sendBesideSilent() {
         run(this::placeAndSend);
