--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -12,6 +12,7 @@
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.serving.AttemptListener;
 import org.sesamepin.node.serving.CallHead;
 import org.sesamepin.node.serving.ResponseHead;
 import org.sesamepin.node.serving.ServingContext;
@@ -21,7 +22,7 @@
 import org.slf4j.LoggerFactory;
 
 /** One run of a batch item at one target; records events and the end in the job's progress. */
-final class ItemRun implements TargetAttempt.Listener {
+final class ItemRun implements AttemptListener {
     private static final Logger LOG = LoggerFactory.getLogger(ItemRun.class);
     private static final long ITEM_BUDGET_MS = TimeUnit.SECONDS.toMillis(20);
     private static final long MAX_SILENCE_MS = 2_000;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
@@ -18,7 +18,7 @@
  */
 final class CallAttempts {
     /** The call that the attempts belong to; it is notified of the attempt that answers it. */
-    interface Call extends TargetAttempt.Listener {
+    interface Call extends AttemptListener {
         /** Sends the call to another target beside a silent one. */
         void sendBesideSilent();
 
@@ -159,7 +159,7 @@
     }
 
     /** One attempt, and what it has received before it answers the call. */
-    private final class Run implements TargetAttempt.Listener {
+    private final class Run implements AttemptListener {
         private final long mStartedAt = mContext.ticker().nanoTime();
         private @Nullable TargetAttempt mAttempt;
         private @Nullable ResponseHead mHead;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -14,10 +14,10 @@
  * Holds back the events of an attempt until it is recorded which software writes them; what follows
  * them waits, too. Nothing passes when another target has registered in place of the attempt's.
  */
-public final class StreamEventGate implements TargetAttempt.Listener {
+public final class StreamEventGate implements AttemptListener {
     private static final Logger LOG = LoggerFactory.getLogger(StreamEventGate.class);
 
-    private final TargetAttempt.Listener mListener;
+    private final AttemptListener mListener;
     private final BooleanSupplier mReplaced;
     private final Supplier<Future<Void>> mRecordStart;
     private final Queue<Runnable> mHeldBack = new ArrayDeque<>();
@@ -32,7 +32,7 @@
      * @param recordStart records which software writes the events
      */
     public StreamEventGate(
-            TargetAttempt.Listener listener,
+            AttemptListener listener,
             BooleanSupplier replaced,
             Supplier<Future<Void>> recordStart) {
         mListener = listener;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/AttemptRecorder.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/AttemptRecorder.java
@@ -9,7 +9,7 @@
 import org.sesamepin.core.prompt.PromptParts;
 
 /** Records the progress and the end of an attempt as texts, for comparison. */
-final class AttemptRecorder implements TargetAttempt.Listener {
+final class AttemptRecorder implements AttemptListener {
     private final List<String> mEvents = new CopyOnWriteArrayList<>();
     private final CompletableFuture<String> mEnd = new CompletableFuture<>();
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -130,7 +130,7 @@
                 });
     }
 
-    private final class Recorder implements TargetAttempt.Listener {
+    private final class Recorder implements AttemptListener {
         @Override
         public void onSent() {}
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
@@ -16,7 +16,7 @@
     private final Promise<Void> mRecorded = Promise.promise();
     private int mRecords;
 
-    private final class Recorder implements TargetAttempt.Listener {
+    private final class Recorder implements AttemptListener {
         @Override
         public void onSent() {
             mPassed.add("sent");
