Take no response through a peer for whole that only its connection ends

Callers: a response without length or chunks that comes through a peer could look whole though the peer was killed in the middle of it, since both end the connection the same way.

Cause: the end of a tunnel was read as the end of the target's connection.

Evidence: TunnelledAnswerTest, case without a length: 'answered 200 body' before, 'broken' now; a response with a length is taken as before.

Why it works: such a response is given up at its head; another attempt follows where the request may be repeated, else the caller gets 502. Direct connections are as before.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
@@ -5,6 +5,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import java.util.Set;
 
 /**
  * Reads or discards the body of a target's response within limits. A faulty target may send bytes
@@ -19,8 +21,18 @@
 
     private static final long DISCARD_TIMEOUT_MS = 1_000;
 
+    /** Statuses of responses that have no body: no content, not modified. */
+    private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
+
     private ResponseBody() {}
 
+    /** Returns whether the end of a response is told by more than the end of its connection. */
+    public static boolean isFramed(HttpClientResponse response) {
+        return response.getHeader(HttpHeaders.CONTENT_LENGTH) != null
+                || response.getHeader(HttpHeaders.TRANSFER_ENCODING) != null
+                || BODILESS_STATUSES.contains(response.statusCode());
+    }
+
     /**
      * Reads a whole body into memory.
      *
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -17,6 +17,7 @@
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.http.ResponseMemory;
 import org.sesamepin.node.prompt.LostTarget;
+import org.sesamepin.node.tunnel.TunnelClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -254,6 +255,10 @@
             endInterrupted("response is unsigned or its body is encoded");
             return;
         }
+        if (TunnelClient.isTunnelled(response.request()) && !ResponseBody.isFramed(response)) {
+            endInterrupted("the end of the response cannot be told from that of the peer");
+            return;
+        }
         if (head.streamed() && head.isSuccess()) {
             readStream(response, head);
         } else {
