End a call at its deadline while two targets are silent

Callers: a call gets no answer at all when its deadline passes while a silent attempt is kept beside a second one that was sent less than 0.3 s before, or still waits for a place.

Cause: cancelling the attempts of a call left the silent one recorded. The deadline's outcome was then taken for a refusal by the second target, and the call went on with an attempt that had been cancelled.

Found by reading the change.

Why it works: after a cancellation there is no silent attempt.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
@@ -114,8 +114,10 @@
     /** Cancels all attempts. */
     void cancel() {
         cancelOverlapTimer();
-        if (mSilent != null) {
-            mSilent.attempt().cancelSilent();
+        Run silent = mSilent;
+        mSilent = null;
+        if (silent != null) {
+            silent.attempt().cancelSilent();
         }
         if (mCurrent != null) {
             mCurrent.attempt().cancel();
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/SilentTargetTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/SilentTargetTest.java
@@ -64,6 +64,7 @@
 
     private final Vertx mVertx = Vertx.vertx();
     private final ServingFixture mFixture = new ServingFixture(mVertx);
+    private volatile long mDeadlineMs = TIMEOUT_MS;
     private final AtomicInteger mRequests = new AtomicInteger();
     private final List<String> mHeads = new CopyOnWriteArrayList<>();
     private final List<Long> mBeginsMs = new CopyOnWriteArrayList<>();
@@ -125,7 +126,7 @@
         return server.actualPort();
     }
 
-    private static void handle(CallHandler handler, HttpServerRequest request) {
+    private void handle(CallHandler handler, HttpServerRequest request) {
         handler.handle(
                 request,
                 new CallHead(
@@ -135,7 +136,7 @@
                         "/x",
                         "/x",
                         null,
-                        TIMEOUT_MS,
+                        mDeadlineMs,
                         null,
                         null,
                         request.headers(),
@@ -325,4 +326,18 @@
         assertEquals(1, mRequests.get());
         assertEquals(List.of(), failingTargets());
     }
+
+    /**
+     * Guards against callers that get no answer when their deadline passes beside a silent target.
+     */
+    @Test
+    void deadlineEndsTheCallWhileTwoTargetsAreSilent() throws Exception {
+        mDeadlineMs = 1_100;
+        int port = startServer(RouteKind.RESUMABLE_STREAM, (socket, id, number) -> {});
+        long startedMs = nowMs();
+        String response = call(port, "r1");
+        assertTrue(response.startsWith("HTTP/1.1 504"), response);
+        assertTrue(nowMs() - startedMs < 2 * mDeadlineMs, "ms " + (nowMs() - startedMs));
+        assertEquals(2, mRequests.get());
+    }
 }
