--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -32,6 +33,9 @@
     /** Time after the last disruption in which each accepted item has to be done. */
     private static final long FINISH_MS = 18_000;
 
+    /** Wait after the second claim that hosts which counted claims have stored. */
+    private static final long SECOND_CLAIM_WAIT_MS = 31_250;
+
     private static final int SUBJECTS = 6;
     private static final int ITEMS = 4;
     private static final long LONG_EVENT_INTERVAL_MS = 1_200;
@@ -170,6 +174,20 @@
         }
     }
 
+    /** Guards against sound items that wait for long since a probe was lost with its host. */
+    @Tag("known-red")
+    @Test
+    void itemsAreDoneInTimeAfterAProbeThatCameToNothing() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of())) {
+            fleet.start(NODES, TARGETS);
+            long nowMs = System.currentTimeMillis();
+            onLoop(fleet, () -> fleet.store().commit(claimedQuarantine("shared", nowMs)));
+            awaitTrue(FINISH_MS, "it is known", () -> fleet.quarantines(0) == 1);
+            fleet.submitJob(0, "job", Collections.nCopies(ITEMS, "shared"));
+            awaitTrue(FINISH_MS, "items are done", () -> fleet.results(0, "job").size() == ITEMS);
+        }
+    }
+
     /** Guards against items that wait until one of them, which may take long, is done. */
     @Test
     void aQuarantineIsLiftedWhileItsProbeIsBeingAnswered() throws Exception {
@@ -197,6 +215,21 @@
         return new StoreTransaction().put(key, entry);
     }
 
+    /** A quarantine of which a host, gone by now, has claimed the second probe. */
+    private static StoreTransaction claimedQuarantine(String part, long nowMs) {
+        String entry =
+                ("{\"service\":\"%s\",\"parts\":[\"%s\"],\"since_ms\":%d,\"until_ms\":%d,"
+                                + "\"item_claims\":2,\"next_item_probe_ms\":%d}")
+                        .formatted(
+                                StandInTargets.SERVICE,
+                                part,
+                                nowMs,
+                                nowMs + TimeUnit.MINUTES.toMillis(10),
+                                nowMs + SECOND_CLAIM_WAIT_MS);
+        String key = ServingKeys.promptQuarantinePrefix() + StandInTargets.SERVICE + '/' + part;
+        return new StoreTransaction().put(key, entry);
+    }
+
     private static void awaitTrue(long timeoutMs, String what, Callable<Boolean> condition)
             throws Exception {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
