Log all holds of an idle item, the evidence of a quarantine and the way of a probe

The record of held items could not tell three hypotheses apart: step=idle-item named the first hold only, so that a moment of cancellations-unknown hid the quarantine; nothing said which ends and answers an entry rests on, nor what became of a claimed probe.

No decision changes.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -405,6 +405,28 @@
         return new Score(part, targetsOf(part, ends), sum);
     }
 
+    /** Returns the targets whose ends speak against all parts of a suspect, for a log line. */
+    public Set<String> endsUnder(Suspect suspect) {
+        Set<String> targets = new TreeSet<>();
+        for (SeenEnd seen : mEnds.values()) {
+            boolean isUnder =
+                    seen.end().service().equals(suspect.service())
+                            && suspect.parts().stream().allMatch(p -> weightOf(p, seen) > 0);
+            if (isUnder) {
+                targets.add(seen.end().target());
+            }
+        }
+        return targets;
+    }
+
+    /** Returns the number of answers, of all hosts, with the part of a suspect that has fewest. */
+    public int answersWith(Suspect suspect) {
+        return suspect.parts().stream()
+                .mapToInt(part -> successes(suspect.service(), part))
+                .min()
+                .orElse(0);
+    }
+
     private int successes(String service, String part) {
         String key = key(service, part);
         int count = ownSuccesses(part).count(key);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemHold.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemHold.java
@@ -1,6 +1,8 @@
 package org.sesamepin.node.job;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,6 +19,13 @@
         @Nullable ItemHold find(OwnedJob job, int index);
     }
 
+    /** Returns several holds as one, which is looked at again when the last of them is over. */
+    static ItemHold all(List<ItemHold> holds) {
+        String names = holds.stream().map(ItemHold::name).collect(Collectors.joining(","));
+        long nextCheckMs = holds.stream().mapToLong(ItemHold::nextCheckMs).max().orElse(0);
+        return new ItemHold(names, nextCheckMs);
+    }
+
     static ItemHold of(String name, long nextCheckNanos) {
         return new ItemHold(name, TimeUnit.NANOSECONDS.toMillis(nextCheckNanos));
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -181,7 +181,9 @@
     }
 
     @Override
-    public void onSent() {}
+    public void onSent() {
+        mContext.promptGuard().recordItemSent(mTarget.service(), mTarget.incarnation(), mPrompt);
+    }
 
     @Override
     public void onStreamStarted(ResponseHead head) {}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobRunner.java
@@ -321,23 +321,24 @@
     }
 
     private @Nullable ItemHold holdOf(OwnedJob job, int index) {
+        List<ItemHold> holds = new ArrayList<>();
         if (!mCancellations.allowsSending(job.id())) {
-            return new ItemHold("cancellations-unknown", CANCELLATION_CHECK_INTERVAL_MS);
+            holds.add(new ItemHold("cancellations-unknown", CANCELLATION_CHECK_INTERVAL_MS));
         }
         ServingRoute route = mContext.state().config().routeByName(job.summary().route());
-        if (route == null) {
-            return null;
+        if (route != null) {
+            PromptParts prompt = ItemRun.promptOf(mContext, job.progress().item(index));
+            route.shares().forEach(share -> addQuarantines(share.service(), prompt, holds));
         }
-        PromptParts prompt = ItemRun.promptOf(mContext, job.progress().item(index));
-        for (ServiceShare share : route.shares()) {
-            PromptQuarantine.Entry entry = mContext.promptGuard().holding(share.service(), prompt);
-            if (entry != null) {
-                long waitMs = entry.itemHeldUntilMs() - System.currentTimeMillis();
-                String name = "quarantine:" + entry.suspect().label();
-                return new ItemHold(name, Math.max(0, waitMs));
-            }
+        return holds.isEmpty() ? null : ItemHold.all(holds);
+    }
+
+    private void addQuarantines(String service, PromptParts prompt, List<ItemHold> holds) {
+        for (PromptQuarantine.Entry entry : mContext.promptGuard().holding(service, prompt)) {
+            long waitMs = entry.itemHeldUntilMs() - System.currentTimeMillis();
+            String name = "quarantine:" + entry.suspect().label();
+            holds.add(new ItemHold(name, Math.max(0, waitMs)));
         }
-        return null;
     }
 
     private void startRun(OwnedJob job, int index, ServingRoute route, TargetInstance target) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -121,16 +121,34 @@
         return null;
     }
 
-    /** Returns the quarantine that holds an item back, or null; starts no probe. */
-    public PromptQuarantine.@Nullable Entry holding(String service, PromptParts prompt) {
+    /** Returns the quarantines that hold an item back; starts no probe. */
+    public List<PromptQuarantine.Entry> holding(String service, PromptParts prompt) {
         String itemId = prompt.itemId();
         long nowMs = System.currentTimeMillis();
+        return mQuarantine.allBlocking(service, prompt).stream()
+                .filter(entry -> !mayPass(entry, itemId, itemId, nowMs))
+                .toList();
+    }
+
+    /** Records that an item was sent to a target. */
+    public void recordItemSent(String service, String target, PromptParts prompt) {
         for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
-            if (!mayPass(entry, itemId, itemId, nowMs)) {
-                return entry;
-            }
+            logProbe(entry, prompt.itemId(), target, "sent");
         }
-        return null;
+    }
+
+    private static void logProbe(
+            PromptQuarantine.Entry entry, String itemId, String target, String outcome) {
+        LOG.info(
+                "step=prompt-probe prompt={} service={} item={} target={} claims={} next_ms={}"
+                        + " outcome={}",
+                entry.suspect().label(),
+                entry.suspect().service(),
+                itemId,
+                target,
+                entry.itemClaims(),
+                entry.nextItemProbeMs(),
+                outcome);
     }
 
     private boolean mayPass(
@@ -245,9 +263,12 @@
      * @param events number of events of the answer that had arrived
      */
     public void recordLostRun(LostTarget target, PromptParts prompt, long events) {
-        mQuarantine
-                .allBlocking(target.service(), prompt)
-                .forEach(entry -> mItemProbes.end(entry.suspect(), prompt.itemId()));
+        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(target.service(), prompt)) {
+            if (mItemProbes.wasProbe(entry.suspect(), prompt.itemId())) {
+                logProbe(entry, prompt.itemId(), target.id(), "lost");
+            }
+            mItemProbes.end(entry.suspect(), prompt.itemId());
+        }
         mDetector.recordLostRun(target, prompt, events);
     }
 
@@ -300,10 +321,13 @@
 
     private void announce(PromptQuarantine.Entry entry, String outcome) {
         LOG.warn(
-                "step=prompt-quarantine prompt={} service={} source=self until_ms={} outcome={}",
+                "step=prompt-quarantine prompt={} service={} source=self until_ms={} ends={}"
+                        + " answers={} outcome={}",
                 entry.suspect().label(),
                 entry.suspect().service(),
                 entry.untilMs(),
+                mSuspects.endsUnder(entry.suspect()),
+                mSuspects.answersWith(entry.suspect()),
                 outcome);
         mQuarantineStore.put(entry);
         mUnreportedEntries.add(entry);
