List three faults with records and messages of other builds

An unreadable frame is not logged; an unreadable record of a quarantine is logged each second; an unknown outcome of a placement ends its request.

--- a/sesamepin-node/src/test/java/org/sesamepin/node/peer/RecordedFrameTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/peer/RecordedFrameTest.java
@@ -25,9 +25,11 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sesamepin.node.LogLines;
 import org.sesamepin.node.peer.generated.Done;
 import org.sesamepin.node.peer.generated.HostReport;
 import org.sesamepin.node.peer.generated.InFlight;
@@ -191,6 +193,19 @@
         }
     }
 
+    /** Guards against a build whose frames end connections and nobody learns which one it is. */
+    @Tag("known-red")
+    @Test
+    void unreadableFrameIsLoggedOnceWithItsSender() throws Exception {
+        try (LogLines log = new LogLines();
+                Socket socket = connect()) {
+            assertThrows(IOException.class, () -> call(socket, "ffffffff"));
+            assertEquals(1, log.all().size(), log.all().toString());
+            String line = log.all().get(0);
+            assertTrue(line.contains("127.0.0.1:" + socket.getLocalPort()), line);
+        }
+    }
+
     /** A reply of an unknown kind, or none at all, ends the call of the request only. */
     @ParameterizedTest
     @ValueSource(strings = {"16022c0c781801780000" + "00", "160200"})
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
@@ -5,32 +5,28 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ch.qos.logback.classic.Level;
-import ch.qos.logback.classic.Logger;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.AppenderBase;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.Suspect;
+import org.sesamepin.node.LogLines;
 import org.sesamepin.node.job.MemoryStore;
 import org.sesamepin.node.peer.generated.PromptQuarantineEntry;
 import org.sesamepin.node.serving.ServingKeys;
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
-import org.slf4j.LoggerFactory;
+import org.sesamepin.node.spi.StoreTransaction;
 
 /** Reads quarantines that other builds wrote to the store or told their peers. */
 class RecordedQuarantineTest {
@@ -46,6 +42,9 @@
     /** An unreadable value is quoted in the log up to a limit. */
     private static final int MAX_LINE_CHARS = 500;
 
+    /** Time in which a write would be tried again a few times. */
+    private static final long WATCHED_MS = 3_500;
+
     /** Record of a build that stores no {@code failed_probes}, but for its closing brace. */
     private static final String RECORD =
             "{\"service\":\"generate\",\"parts\":[\"a1b2c3d4\"],\"since_ms\":1796587200000,"
@@ -59,16 +58,7 @@
     private final Vertx mVertx = Vertx.vertx();
     private final MemoryStore mStore = new MemoryStore();
     private final List<PromptQuarantine.Entry> mRead = new ArrayList<>();
-    private final List<ILoggingEvent> mLines = new CopyOnWriteArrayList<>();
-    private final AppenderBase<ILoggingEvent> mAppender =
-            new AppenderBase<>() {
-                @Override
-                protected void append(ILoggingEvent event) {
-                    if (event.getLevel().isGreaterOrEqual(Level.WARN)) {
-                        mLines.add(event);
-                    }
-                }
-            };
+    private final LogLines mLog = new LogLines();
     private final PromptQuarantineStore mQuarantine =
             new PromptQuarantineStore(
                     mVertx,
@@ -77,19 +67,9 @@
                     suspect -> {},
                     entry -> true);
 
-    private static Logger rootLogger() {
-        return (Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-    }
-
-    @BeforeEach
-    void listen() {
-        mAppender.start();
-        rootLogger().addAppender(mAppender);
-    }
-
     @AfterEach
     void close() {
-        rootLogger().detachAppender(mAppender);
+        mLog.close();
         mVertx.close();
     }
 
@@ -117,7 +97,7 @@
                         new PromptQuarantine.Entry(
                                 SUSPECT, SINCE_MS, UNTIL_MS, 2, 2, NEXT_PROBE_MS, "")),
                 mRead);
-        assertEquals(List.of(), mLines);
+        assertEquals(List.of(), mLog.all());
     }
 
     /** Guards against items that wait as for certain failures, on claims of another build. */
@@ -144,15 +124,29 @@
         String other = KEY + ":next";
         list(entry(other, value), entry(KEY, RECORD + '}'));
         assertEquals(SUSPECT, mRead.get(0).suspect());
-        assertEquals(1, mLines.size(), mLines.toString());
-        String line = mLines.get(0).getFormattedMessage();
+        assertEquals(1, mLog.all().size(), mLog.all().toString());
+        String line = mLog.all().get(0);
         assertTrue(line.contains(other) && line.contains("outcome=unusable"), line);
     }
 
     @Test
     void unreadableRecordIsQuotedUpToALimit() {
         list(entry(KEY, "x".repeat(100_000)));
-        assertTrue(mLines.get(0).getFormattedMessage().length() < MAX_LINE_CHARS);
+        assertTrue(mLog.all().get(0).length() < MAX_LINE_CHARS);
+    }
+
+    /** Guards against a line a second while the store holds an unreadable record of the parts. */
+    @Tag("known-red")
+    @Test
+    void unreadableRecordOfTheSamePartsIsLoggedOnce() throws Exception {
+        mVertx.runOnContext(
+                v -> {
+                    mStore.commit(new StoreTransaction().put(KEY, "{}"));
+                    list(entry(KEY, "{}"));
+                    mQuarantine.put(new PromptQuarantine.Entry(SUSPECT, SINCE_MS, UNTIL_MS));
+                });
+        Thread.sleep(WATCHED_MS);
+        assertEquals(1, mLog.all().size(), mLog.all().toString());
     }
 
     @ParameterizedTest
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
@@ -16,6 +17,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.core.serving.ConnectionLimits;
 import org.sesamepin.core.serving.ServiceSpec;
@@ -161,4 +163,15 @@
     void refusalEndsTheWaitAtOnce() throws Exception {
         assertEquals("none", idOf(placeAndGrant("old", "")));
     }
+
+    /** Guards against requests that fail since the coordinator's build knows further outcomes. */
+    @Tag("known-red")
+    @Test
+    void outcomeOfAnotherBuildIsNoDecision() throws Exception {
+        mAnswer = new PlaceAnswer(PlaceOutcome.REFUSED, "", 0, 0);
+        awaitCoordinator();
+        mAnswer = new PlaceAnswer().setTargetId("");
+        mFixture.peers().recordContact("other", true);
+        assertNotNull(await(() -> place(null)).target());
+    }
 }
