Judge a probe of unknown outcome only if this host knew of its claim lately

What callers saw: sound items waited 8 s for each target that was replaced after it had run a probe, and 90 s after three. Cause: the host that claims the next probe counts the last one as failed when its target is gone, also when that was claimed minutes ago, or before the start of this host, which knows of no other ends.

Shown by ItemProberTest.theEndOfATargetLongAfterItsProbeIsNoFailure and aHostThatStartsAfterAProbeDoesNotJudgeIt (both failed before).

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -23,8 +23,12 @@
     /** Time after its claim in which a probe has to be sent, so that its outcome is known soon. */
     private static final long MAX_SEND_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** The last claim and failure of a quarantine, and when the next probe may be claimed. */
-    private record Seen(int claims, int failures, long dueNanos) {}
+    /**
+     * The last claim and failure of a quarantine, and when the next probe may be claimed.
+     *
+     * @param claimedNanos when this host learned of the last claim; null if it was not there then
+     */
+    private record Seen(int claims, int failures, @Nullable Long claimedNanos, long dueNanos) {}
 
     /** A claim of this host. */
     private record Claim(int number, long atNanos) {}
@@ -52,10 +56,22 @@
             return;
         }
         long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs(seen, entry, nowMs));
-        Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), dueNanos);
+        Long claimedNanos = seen == null ? null : seen.claimedNanos();
+        if (seen != null && entry.itemClaims() > seen.claims()) {
+            claimedNanos = nowNanos;
+        }
+        Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), claimedNanos, dueNanos);
         mSeen.put(entry.suspect(), updated);
     }
 
+    /** Returns whether this host has learned of the last claim within a time. */
+    public boolean wasClaimedWithin(Suspect suspect, long withinNanos, long nowNanos) {
+        Seen seen = mSeen.get(suspect);
+        return seen != null
+                && seen.claimedNanos() != null
+                && nowNanos - seen.claimedNanos() <= withinNanos;
+    }
+
     private static long waitMs(@Nullable Seen seen, PromptQuarantine.Entry entry, long nowMs) {
         int failures = entry.failedProbes();
         if (seen == null) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
@@ -147,7 +147,9 @@
     }
 
     private Future<Boolean> isProbeTargetGone(PromptQuarantine.Entry entry) {
-        if (entry.probeTarget().isEmpty()) {
+        long now = mTicker.nanoTime();
+        boolean isRecent = mProbes.wasClaimedWithin(entry.suspect(), UNTOLD_NANOS, now);
+        if (entry.probeTarget().isEmpty() || !isRecent) {
             return Future.succeededFuture(false);
         }
         LostTarget target = mTargets.find(entry.probeTarget());
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
@@ -252,4 +252,39 @@
         assertTrue(claims(mSecond, "i2"));
         assertEquals(0, failures(mSecond));
     }
+
+    /** Guards against a target that was replaced long after it ran a probe. */
+    @Test
+    void theEndOfATargetLongAfterItsProbeIsNoFailure() throws Exception {
+        sendProbe();
+        onLoop(
+                () -> {
+                    end("t1");
+                    lapse();
+                });
+        advance(TimeUnit.SECONDS.toMillis(30));
+        assertTrue(claims(mSecond, "i2"));
+        assertEquals(0, failures(mSecond));
+    }
+
+    /** Guards against a host that blames a probe for an outage before its start. */
+    @Test
+    void aHostThatStartsAfterAProbeDoesNotJudgeIt() throws Exception {
+        sendProbe();
+        ProberHost started =
+                get(
+                        () -> {
+                            ProberHost host = newHost();
+                            mFirst.addPeer(host);
+                            mFirst.recordSent("i1", "t1");
+                            mFirst.end();
+                            mSecond.end();
+                            end("t1");
+                            lapse();
+                            return host;
+                        });
+        advance(OUTCOME_MS);
+        assertTrue(claims(started, "i3"));
+        assertEquals(0, failures(started));
+    }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ProberHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ProberHost.java
@@ -55,7 +55,12 @@
                         targets,
                         new OutageCheck(connector, new Random(1)),
                         this::announce);
-        watch(store, 0);
+        store.list(ServingKeys.CONTROL_PREFIX)
+                .onSuccess(
+                        listing -> {
+                            mStore.onListing(listing, false);
+                            watch(store, listing.revision());
+                        });
     }
 
     private void watch(WatchableStore store, long revision) {
