Tell peers that a probe which was lost in an outage said nothing

What callers saw: items waited 8 s after each outage of idle targets, and 90 s after three. The host of a probe found that other targets refuse connections and counted no failure, but told nobody; the next host saw that the probe's target was gone, heard of no other end, since nothing else ran there, and counted one. Now the entry says that the probe is over. That outranks the message of where it was sent, in any order.

Shown by ItemProberTest.aProbeLostInAnOutageOfIdleTargetsHasNotFailed (failed before).

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -40,7 +40,8 @@
      * @param failedProbes number of those under which their target ended, and no other one
      * @param nextItemProbeMs when the next one may be claimed, milliseconds since the Unix epoch
      * @param probeTarget incarnation of the target to which the last one was sent; empty when it
-     *     was not sent, when its outcome is known, and for a host that was not told
+     *     was not sent, when it has failed, and for a host that was not told; see {@link
+     *     #withProbeOver}
      */
     public record Entry(
             Suspect suspect,
@@ -50,6 +51,9 @@
             int failedProbes,
             long nextItemProbeMs,
             String probeTarget) {
+        /** Target of a probe that said nothing; greater than all targets. */
+        private static final String OVER = "~";
+
         private static final Comparator<Entry> BY_PROBES =
                 Comparator.comparingInt(Entry::itemClaims)
                         .thenComparingInt(Entry::failedProbes)
@@ -91,6 +95,16 @@
             return withProbes(itemClaims, failedProbes, nextItemProbeMs, target);
         }
 
+        /** Returns the entry after the probe that was claimed last is over and said nothing. */
+        public Entry withProbeOver() {
+            return withProbes(itemClaims, failedProbes, nextItemProbeMs, OVER);
+        }
+
+        /** Returns whether the probe that was claimed last was sent and has no known outcome. */
+        public boolean isProbeOpen() {
+            return !probeTarget.isEmpty() && !probeTarget.equals(OVER);
+        }
+
         /** Returns the entry after the probe that was claimed last has failed. */
         public Entry withFailedProbe(long nowMs) {
             long nextMs = nowMs + ProbeSchedule.waitAfterFailuresMs(failedProbes + 1);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
@@ -149,7 +149,7 @@
     private Future<Boolean> isProbeTargetGone(PromptQuarantine.Entry entry) {
         long now = mTicker.nanoTime();
         boolean isRecent = mProbes.wasClaimedWithin(entry.suspect(), UNTOLD_NANOS, now);
-        if (entry.probeTarget().isEmpty() || !isRecent) {
+        if (!entry.isProbeOpen() || !isRecent) {
             return Future.succeededFuture(false);
         }
         LostTarget target = mTargets.find(entry.probeTarget());
@@ -253,6 +253,9 @@
             PromptQuarantine.Entry entry = mQuarantine.get(suspect);
             if (entry != null && outage) {
                 log(entry, "-", target, "void", "other targets ended too");
+                if (entry.probeTarget().equals(target)) {
+                    mAnnouncer.announce(entry.withProbeOver(), false);
+                }
             } else if (entry != null) {
                 fail(entry, target, "no other target ended");
             }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
@@ -217,6 +217,18 @@
         assertTrue(claims(mFirst, "i1"));
     }
 
+    /** Guards against a wait that grows with an outage, during which nothing else ran. */
+    @Test
+    void aProbeLostInAnOutageOfIdleTargetsHasNotFailed() throws Exception {
+        sendProbe();
+        onLoop(() -> end("t3"));
+        endProbedTarget();
+        assertEquals(0, failures(mFirst));
+        advance(OUTCOME_MS);
+        assertTrue(claims(mSecond, "i2"));
+        assertEquals(0, failures(mSecond));
+    }
+
     @Test
     void aProbeLostWithTargetsOfOtherRequestsHasNotFailed() throws Exception {
         sendProbe();
