Send requests as probes of parts that are held back, not only items

What callers saw: requests with a part that was held back for ends of another cause were refused for ten minutes, or until an item happened to show the part sound; then only the host that rendezvous hashing selects might try.

Rule: a request is a probe by the same claims, 4 s later than an item would be, since items are owed; after two failed probes 90 s later, since each one costs a caller a request and a target its life: two in the first 90 s, where three more are allowed after the fifth end. A whole content stays held for ten minutes: it is hardly ever accused for another cause, and identical requests may reach targets three times in all. Retry-After names the next probe.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -11,7 +11,8 @@
 /**
  * Decides when an item of a job may be sent although a part of its prompt, or the item itself, is
  * in quarantine, as this host sees it. Each host that has such an item may claim the next probe for
- * all hosts, as soon as {@link ProbeSchedule} allows. Not thread-safe.
+ * all hosts, as soon as {@link ProbeSchedule} allows. Requests of callers are probes as well, later
+ * than items; {@link #REQUEST} stands for their ids. Not thread-safe.
  */
 public final class ItemProbes {
     /**
@@ -20,6 +21,21 @@
      */
     private static final long LOST_PROBE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * Additional wait of requests that callers send, so that items, which are owed, are tried
+     * before them. A request that is refused meanwhile may come again.
+     */
+    private static final long REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Failed probes from which on requests are probes seldom, since each costs a caller one. */
+    private static final int MAX_FAILURES_FOR_REQUESTS = 2;
+
+    /** Additional wait of requests from {@link #MAX_FAILURES_FOR_REQUESTS} on. */
+    private static final long SELDOM_REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(90);
+
+    /** Stands for the id of the next request of a caller. */
+    public static final String REQUEST = "";
+
     /** Time after its claim in which a probe has to be sent, so that its outcome is known soon. */
     private static final long MAX_SEND_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -81,8 +97,16 @@
         if (seen == null) {
             return 0;
         }
-        long lostWaitNanos = wasLost(entry.suspect(), itemId) ? LOST_PROBE_WAIT_NANOS : 0;
-        return seen.dueNanos() - nowNanos + lostWaitNanos;
+        return seen.dueNanos() - nowNanos + additionalWaitNanos(entry, itemId);
+    }
+
+    private long additionalWaitNanos(PromptQuarantine.Entry entry, String itemId) {
+        if (!itemId.equals(REQUEST)) {
+            return wasLost(entry.suspect(), itemId) ? LOST_PROBE_WAIT_NANOS : 0;
+        }
+        return entry.failedProbes() < MAX_FAILURES_FOR_REQUESTS
+                ? REQUEST_WAIT_NANOS
+                : SELDOM_REQUEST_WAIT_NANOS;
     }
 
     /** Records that this host has claimed the probe of {@code entry} for an item. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -229,15 +229,22 @@
     }
 
     /**
-     * Returns whether a request that {@code entry} blocks may be sent as the probe. Only one host
-     * may ask. Items of jobs are probes by {@link ItemProbes} instead.
+     * Returns whether a request that {@code entry} blocks may be sent as the probe after its whole
+     * time. Only one host may ask.
      */
     public boolean mayProbe(Entry entry, String requestId, long nowMs) {
-        if (nowMs < entry.untilMs()) {
-            return false;
-        }
-        Probe probe = probeUnderWay(entry.suspect(), nowMs);
-        return probe == null || probe.requestId().equals(requestId);
+        return nowMs >= entry.untilMs() && isFreeFor(entry.suspect(), requestId, nowMs);
+    }
+
+    /** Returns whether a request is the probe of {@code suspect} that is under way, or none is. */
+    public boolean isFreeFor(Suspect suspect, String requestId, long nowMs) {
+        return probeUnderWay(suspect, nowMs) == null || isProbe(suspect, requestId, nowMs);
+    }
+
+    /** Returns whether a request is the probe of {@code suspect} that is under way. */
+    public boolean isProbe(Suspect suspect, String requestId, long nowMs) {
+        Probe probe = probeUnderWay(suspect, nowMs);
+        return probe != null && probe.requestId().equals(requestId);
     }
 
     private @Nullable Probe probeUnderWay(Suspect suspect, long nowMs) {
@@ -250,12 +257,22 @@
         if (!mayProbe(entry, requestId, nowMs)) {
             return false;
         }
-        if (probeUnderWay(entry.suspect(), nowMs) == null) {
-            mProbes.put(entry.suspect(), new Probe(requestId, nowMs));
-        }
+        startProbe(entry.suspect(), requestId, nowMs);
         return true;
     }
 
+    /** Records that a request is the probe of {@code suspect}, unless one is under way. */
+    public void startProbe(Suspect suspect, String requestId, long nowMs) {
+        if (probeUnderWay(suspect, nowMs) == null) {
+            mProbes.put(suspect, new Probe(requestId, nowMs));
+        }
+    }
+
+    /** Records that the probe of {@code suspect} that may be under way counts no more. */
+    public void endProbe(Suspect suspect) {
+        mProbes.remove(suspect);
+    }
+
     /** Returns whether a request was sent as a probe of {@code suspect}. */
     public boolean isProbed(Suspect suspect) {
         return mProbes.containsKey(suspect);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
@@ -169,6 +169,7 @@
                             }
                             // The store's watch may have brought a lift or a later claim before.
                             if (owned && mQuarantine.isInForce(claimed)) {
+                                mQuarantine.endProbe(suspect);
                                 mProbes.start(claimed, prompt.itemId(), mTicker.nanoTime());
                             }
                             String outcome = done.failed() ? "unknown" : "conflict";
@@ -205,14 +206,14 @@
         }
     }
 
-    /** Records that a target ended; judges later what that says of the probes that ran there. */
+    /** Records that a target ended; judges later what that says of the items probed there. */
     void recordEnd(TargetEnd end) {
         Set<Suspect> probed = new HashSet<>();
         for (TargetEnd.Run run : end.runs()) {
             String itemId = run.parts().itemId();
             mQuarantine.allBlocking(end.service(), run.parts()).stream()
                     .map(PromptQuarantine.Entry::suspect)
-                    .filter(suspect -> mProbes.wasLost(suspect, itemId))
+                    .filter(suspect -> isLostProbe(suspect, itemId))
                     .forEach(probed::add);
         }
         if (!probed.isEmpty()) {
@@ -220,6 +221,10 @@
         }
     }
 
+    private boolean isLostProbe(Suspect suspect, String itemId) {
+        return !itemId.equals(ItemProbes.REQUEST) && mProbes.wasLost(suspect, itemId);
+    }
+
     private void judge(TargetEnd end, Set<Suspect> probed) {
         String service = end.service();
         if (!otherEnds(service, OUTAGE_NANOS).isEmpty()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.prompt.ItemProbes;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.prompt.PromptQuarantine;
 import org.sesamepin.core.prompt.PromptSuspects;
@@ -129,15 +130,29 @@
         long nowMs = System.currentTimeMillis();
         for (PromptQuarantine.Entry entry : entries) {
             if (!mayPass(entry, prompt.itemId(), requestId, nowMs)) {
+                claimRequestProbe(service, prompt);
                 return entry;
             }
         }
         if (prompt.itemId().isEmpty()) {
-            entries.forEach(entry -> mQuarantine.startProbe(entry, requestId, nowMs));
+            entries.forEach(e -> mQuarantine.startProbe(e.suspect(), requestId, nowMs));
         }
         return null;
     }
 
+    /**
+     * Claims a probe for the next request with the same parts. Whole contents are left out: they
+     * are hardly ever accused for another cause.
+     */
+    private void claimRequestProbe(String service, PromptParts prompt) {
+        boolean hasContent =
+                mQuarantine.allBlocking(service, prompt).stream()
+                        .anyMatch(entry -> entry.suspect().isContent());
+        if (prompt.itemId().isEmpty() && !hasContent) {
+            mItemProber.claim(service, prompt, () -> {});
+        }
+    }
+
     /** Returns the quarantines that hold an item back; starts no probe. */
     public List<PromptQuarantine.Entry> holding(String service, PromptParts prompt) {
         return mQuarantine.allBlocking(service, prompt).stream()
@@ -150,8 +165,14 @@
         if (!itemId.isEmpty()) {
             return mItemProber.mayBeSent(entry, itemId);
         }
-        return mHosts.isProberOf(entry.suspect().label())
-                && mQuarantine.mayProbe(entry, requestId, nowMs);
+        Suspect suspect = entry.suspect();
+        if (mQuarantine.isProbe(suspect, requestId, nowMs)) {
+            return true;
+        }
+        boolean isTurn =
+                mItemProber.mayBeSent(entry, ItemProbes.REQUEST)
+                        || (mHosts.isProberOf(suspect.label()) && nowMs >= entry.untilMs());
+        return isTurn && mQuarantine.isFreeFor(suspect, requestId, nowMs);
     }
 
     /** Returns the time until an item that is held back may be a probe, milliseconds. */
@@ -238,7 +259,10 @@
                     mQuarantine.prolongAfterEnd(
                             end.service(), run.parts(), System.currentTimeMillis());
             if (prolonged != null) {
-                announce(prolonged, "prolonged");
+                PromptQuarantine.Entry failed =
+                        prolonged.withFailedProbe(System.currentTimeMillis());
+                add(failed);
+                announce(failed, "prolonged");
             }
         }
         mSuspects.recordEnd(end, mTicker.nanoTime());
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
@@ -8,6 +8,8 @@
 
 /** Errors for callers whose prompt is in quarantine. */
 public final class QuarantineProblems {
+    private static final long MIN_RETRY_AFTER_MS = 1_000;
+
     private QuarantineProblems() {}
 
     /** Returns the error for a request that was sent to no target of {@code service}. */
@@ -46,6 +48,7 @@
 
     /** Returns the time after which a caller may try a prompt in quarantine again, milliseconds. */
     private static long retryAfterMs(PromptQuarantine.Entry entry) {
-        return Math.max(1_000, entry.untilMs() - System.currentTimeMillis());
+        long nextMs = entry.suspect().isContent() ? entry.untilMs() : entry.nextItemProbeMs();
+        return Math.max(MIN_RETRY_AFTER_MS, nextMs - System.currentTimeMillis());
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PromptThatEndsTargetsTest.java
@@ -27,6 +27,10 @@
     private static final int LEARNED_AFTER_ENDS = 5;
     private static final long LEARNING_WINDOW_MS = 3_000;
     private static final int MAX_ARRIVALS_AFTERWARDS = 3;
+
+    /** Time in which several probes are due. */
+    private static final long PROBED_MS = 36_000;
+
     private static final double MIN_SERVED = 0.5;
 
     /** Time after the last disruption in which each accepted item has to be done. */
@@ -95,6 +99,39 @@
         }
     }
 
+    /** Guards against callers that are refused for minutes, since a part is held back wrongly. */
+    @Test
+    void requestsWhosePartIsHeldBackWronglyAreServedSoon() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of())) {
+            fleet.start(NODES, TARGETS);
+            long nowMs = System.currentTimeMillis();
+            onLoop(fleet, () -> fleet.store().commit(quarantine("shared", nowMs)));
+            awaitTrue(FINISH_MS, "all know it", () -> fleet.quarantines(NODES - 1) == 1);
+            onLoop(
+                    fleet,
+                    () -> fleet.vertx().setPeriodic(200, t -> fleet.send(1, List.of("shared"))));
+            awaitTrue(FINISH_MS, "it is lifted", () -> fleet.quarantines(1) == 0);
+        }
+    }
+
+    /** Guards against probes that end one target after the other. */
+    @Test
+    void fewProbesOfRequestsEndTargets() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of(BAD))) {
+            fleet.start(NODES, TARGETS);
+            onLoop(fleet, () -> startLoad(fleet, List.of("first", BAD)));
+            Thread.sleep(PROBED_MS);
+            List<Long> ends = onLoopGet(fleet, () -> List.copyOf(fleet.targets().endNanos()));
+            List<Long> arrivals =
+                    onLoopGet(fleet, () -> List.copyOf(fleet.targets().badArrivalNanos()));
+            long late =
+                    ends.size() < LEARNED_AFTER_ENDS
+                            ? 0
+                            : arrivals.stream().filter(at -> at > learnedAt(ends)).count();
+            assertTrue(late <= MAX_ARRIVALS_AFTERWARDS, late + " arrived, ends=" + ends.size());
+        }
+    }
+
     @Test
     void aHostThatStartsAfterAllHavePoweredOffKnowsThem() throws Exception {
         try (LoopbackFleet fleet = new LoopbackFleet(RouteKind.STREAM, Set.of(BAD))) {
