--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.sesamepin.core.prompt.RecentEnds.SeenEnd;
 
 /**
  * Finds the parts of prompts that end the targets that answer them, from the ends of targets and
@@ -44,31 +44,22 @@
     /** Stands for all prompts of a service in the numbers of successes. */
     private static final String ANY_PART = "";
 
-    private static final long END_TTL_NANOS = TimeUnit.MINUTES.toNanos(5);
+    /** Time for which a part that was shown to be sound is remembered; no end is older. */
+    private static final long SOUND_TTL_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     /** Targets that end within this time may share another cause, such as a loss of power. */
     private static final long COMMON_CAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
-    /** Time in which the peers' successes with the parts of an end arrive. */
-    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
-
-    /** Time in which all hosts report one end of a target; shorter than a target needs to start. */
-    private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
     /** Time for which a preempted run has to be answered to speak for the parts of its prompt. */
     private static final long SOUND_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    private static final int MAX_ENDS = 64;
-    private static final int MAX_RUNS_PER_END = 64;
     private static final int MAX_CANDIDATES = 256;
     private static final int MAX_PEER_COUNTS = 1_024;
 
-    private record SeenEnd(TargetEnd end, long seenAt) {}
-
     /** A part, the ends under it, and the sum of their weights. */
     private record Score(String part, Set<String> targets, double sum) {}
 
-    private final LinkedHashMap<String, SeenEnd> mEnds = new LinkedHashMap<>();
+    private final RecentEnds mEnds;
     private final SuccessCounts mOwnSuccesses;
 
     /** Kept apart, since there are as many contents as requests. */
@@ -81,7 +72,6 @@
     private final Map<String, Long> mSoundSince = new HashMap<>();
 
     private final TargetIdentity mIdentity;
-    private long mEndsOfNames;
 
     /** What identifies the targets whose ends are recorded. */
     public enum TargetIdentity {
@@ -94,6 +84,7 @@
     /** Creates a record without ends. */
     public PromptSuspects(TargetIdentity identity, long now) {
         mIdentity = identity;
+        mEnds = new RecentEnds(identity);
         mOwnSuccesses = new SuccessCounts(now);
         mOwnContentSuccesses = new SuccessCounts(now);
     }
@@ -148,41 +139,13 @@
     /** Records the end of a target that a host has seen; reports of several hosts are joined. */
     public void recordEnd(TargetEnd end, long now) {
         dropOld(now);
-        String key = keyOf(end, now);
-        SeenEnd seen = mEnds.get(key);
-        List<TargetEnd.Run> runs = new ArrayList<>(end.runs());
-        if (seen != null) {
-            runs.addAll(seen.end().runs());
-        }
-        if (runs.size() > MAX_RUNS_PER_END) {
-            runs = runs.subList(0, MAX_RUNS_PER_END);
-        }
-        TargetEnd joined = new TargetEnd(end.service(), key, runs);
-        mEnds.put(key, new SeenEnd(joined, seen == null ? now : seen.seenAt()));
-    }
-
-    /** Returns a key that is the same for all reports of one end of a target. */
-    private String keyOf(TargetEnd end, long now) {
-        if (mIdentity == TargetIdentity.INCARNATION) {
-            return end.target();
-        }
-        String prefix = end.target() + '#';
-        for (Map.Entry<String, SeenEnd> entry : mEnds.entrySet()) {
-            boolean sameEnd = now - entry.getValue().seenAt() <= REPORT_NANOS;
-            if (sameEnd && entry.getKey().startsWith(prefix)) {
-                return entry.getKey();
-            }
-        }
-        return prefix + mEndsOfNames++;
+        mEnds.record(end, now);
     }
 
     private void dropOld(long now) {
-        mEnds.values().removeIf(seen -> now - seen.seenAt() > END_TTL_NANOS);
-        mSoundSince.values().removeIf(since -> now - since > END_TTL_NANOS);
-        while (mEnds.size() >= MAX_ENDS) {
-            mEnds.remove(mEnds.keySet().iterator().next());
-        }
-        if (mEnds.isEmpty()) {
+        mEnds.dropOld(now);
+        mSoundSince.values().removeIf(since -> now - since > SOUND_TTL_NANOS);
+        if (mEnds.all().isEmpty()) {
             mPeerSuccesses.clear();
             mLastReported.clear();
         }
@@ -195,7 +158,7 @@
      */
     public Map<Suspect, Integer> successesToReport() {
         Map<Suspect, Integer> changed = new TreeMap<>();
-        for (SeenEnd seen : mEnds.values()) {
+        for (SeenEnd seen : mEnds.all()) {
             addIfDoubled(seen.end().service(), ANY_PART, changed);
             seen.end().parts().forEach(part -> addIfDoubled(seen.end().service(), part, changed));
         }
@@ -220,7 +183,7 @@
     public Set<Suspect> findCauses(long now, Predicate<Suspect> isKnown) {
         dropOld(now);
         Set<String> services = new TreeSet<>();
-        mEnds.values().forEach(seen -> services.add(seen.end().service()));
+        mEnds.all().forEach(seen -> services.add(seen.end().service()));
         Set<Suspect> causes = new TreeSet<>();
         for (String service : services) {
             findCausingContents(service, now, causes);
@@ -235,7 +198,7 @@
      * they share with other requests: what is held back is nothing but the request itself.
      */
     private void findCausingContents(String service, long now, Set<Suspect> causes) {
-        List<SeenEnd> ends = settledEnds(service, now);
+        List<SeenEnd> ends = mEnds.settled(service, now);
         List<Score> scores = new ArrayList<>();
         for (String part : partsOfSeveral(ends, PromptParts::isWhole)) {
             double sum = contentScore(part, ends);
@@ -291,21 +254,9 @@
         }
     }
 
-    /** Returns the ends of targets of {@code service} that all hosts have reported by now. */
-    private List<SeenEnd> settledEnds(String service, long now) {
-        List<SeenEnd> ends = new ArrayList<>();
-        for (SeenEnd seen : mEnds.values()) {
-            boolean settled = now - seen.seenAt() >= SETTLE_NANOS;
-            if (settled && seen.end().service().equals(service)) {
-                ends.add(seen);
-            }
-        }
-        return ends;
-    }
-
     /** Returns the settled ends under which no part ran that is a known cause by itself. */
     private List<SeenEnd> unexplainedEnds(String service, long now, Predicate<Suspect> isKnown) {
-        List<SeenEnd> ends = settledEnds(service, now);
+        List<SeenEnd> ends = mEnds.settled(service, now);
         ends.removeIf(
                 seen ->
                         seen.end().parts().stream()
@@ -407,20 +358,13 @@
 
     /** Returns the targets of a service that ended since {@code since} in an end of some kind. */
     public Set<String> endedTargets(String service, long since, Predicate<TargetEnd> kind) {
-        Set<String> targets = new HashSet<>();
-        for (SeenEnd seen : mEnds.values()) {
-            boolean isLate = seen.end().service().equals(service) && seen.seenAt() - since >= 0;
-            if (isLate && kind.test(seen.end())) {
-                targets.add(seen.end().target());
-            }
-        }
-        return targets;
+        return mEnds.targets(service, since, kind);
     }
 
     /** Returns the targets whose ends speak against all parts of a suspect, for a log line. */
     public Set<String> endsUnder(Suspect suspect) {
         Set<String> targets = new TreeSet<>();
-        for (SeenEnd seen : mEnds.values()) {
+        for (SeenEnd seen : mEnds.all()) {
             boolean isUnder =
                     seen.end().service().equals(suspect.service())
                             && suspect.parts().stream().allMatch(p -> weightOf(p, seen) > 0);
