Merge the entries of a quarantine to the same entry in any order

Hosts that heard of the same claims and failures in different orders kept different targets and times of the last probe until the next report of a peer. Cause: the later entry was the one with more failures, while the merged one has the most failures of both, so that what it says of the last probe depended on the order. Failures are no part of that order any more; an entry whose probe has failed outranks those before by its target, as one whose probe said nothing does.

ProbeFleet asks Entry.isProbeOpen, as ItemProber does, where it took any target for one: the target of a failed probe is a mark now, no longer empty. Its bounds are as before.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -40,8 +40,7 @@
      * @param failedProbes number of those under which their target ended, and no other one
      * @param nextItemProbeMs when the next one may be claimed, milliseconds since the Unix epoch
      * @param probeTarget incarnation of the target to which the last one was sent; empty when it
-     *     was not sent, when it has failed, and for a host that was not told; see {@link
-     *     #withProbeOver}
+     *     was not sent, and for a host that was not told; see {@link #isProbeOpen}
      */
     public record Entry(
             Suspect suspect,
@@ -51,12 +50,11 @@
             int failedProbes,
             long nextItemProbeMs,
             String probeTarget) {
-        /** Target of a probe that said nothing; greater than all targets. */
+        /** Target of a probe whose outcome is known; greater than all targets. */
         private static final String OVER = "~";
 
         private static final Comparator<Entry> BY_PROBES =
                 Comparator.comparingInt(Entry::itemClaims)
-                        .thenComparingInt(Entry::failedProbes)
                         .thenComparing(Entry::probeTarget)
                         .thenComparingLong(Entry::nextItemProbeMs);
 
@@ -108,7 +106,7 @@
         /** Returns the entry after the probe that was claimed last has failed. */
         public Entry withFailedProbe(long nowMs) {
             long nextMs = nowMs + ProbeSchedule.waitAfterFailuresMs(failedProbes + 1);
-            return withProbes(itemClaims, failedProbes + 1, nextMs, "");
+            return withProbes(itemClaims, failedProbes + 1, nextMs, OVER);
         }
 
         private Entry withProbes(int claims, int failures, long nextMs, String target) {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ProbeFleet.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ProbeFleet.java
@@ -234,7 +234,8 @@
             return;
         }
         long clockMs = mNowMs + host.mClockErrorMs;
-        if (isGone(entry.probeTarget()) && othersEnded(host, UNTOLD_MS).isEmpty()) {
+        boolean isGone = entry.isProbeOpen() && isGone(entry.probeTarget());
+        if (isGone && othersEnded(host, UNTOLD_MS).isEmpty()) {
             mStored = mStored.mergedWith(entry.withFailedProbe(clockMs));
             return;
         }
