--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -11,7 +11,8 @@
 /**
  * Decides when an item of a job may be sent although a part of its prompt, or the item itself, is
  * in quarantine, as this host sees it. Each host that has such an item may claim the next probe for
- * all hosts, as soon as {@link ProbeSchedule} allows. Not thread-safe.
+ * all hosts, as soon as {@link ProbeSchedule} allows. Requests of callers are probes as well, later
+ * than items; {@link #REQUEST} stands for their ids. Not thread-safe.
  */
 public final class ItemProbes {
     /**
@@ -20,11 +21,30 @@
      */
     private static final long LOST_PROBE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * Additional wait of requests that callers send, so that items, which are owed, are tried
+     * before them. A request that is refused meanwhile may come again.
+     */
+    private static final long REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Failed probes from which on requests are probes seldom, since each costs a caller one. */
+    private static final int MAX_FAILURES_FOR_REQUESTS = 2;
+
+    /** Additional wait of requests from {@link #MAX_FAILURES_FOR_REQUESTS} on. */
+    private static final long SELDOM_REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(90);
+
+    /** Stands for the id of the next request of a caller. */
+    public static final String REQUEST = "";
+
     /** Time after its claim in which a probe has to be sent, so that its outcome is known soon. */
     private static final long MAX_SEND_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** The last claim and failure of a quarantine, and when the next probe may be claimed. */
-    private record Seen(int claims, int failures, long dueNanos) {}
+    /**
+     * The last claim and failure of a quarantine, and when the next probe may be claimed.
+     *
+     * @param claimedNanos when this host learned of the last claim; null if it was not there then
+     */
+    private record Seen(int claims, int failures, @Nullable Long claimedNanos, long dueNanos) {}
 
     /** A claim of this host. */
     private record Claim(int number, long atNanos) {}
@@ -52,10 +72,22 @@
             return;
         }
         long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs(seen, entry, nowMs));
-        Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), dueNanos);
+        Long claimedNanos = seen == null ? null : seen.claimedNanos();
+        if (seen != null && entry.itemClaims() > seen.claims()) {
+            claimedNanos = nowNanos;
+        }
+        Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), claimedNanos, dueNanos);
         mSeen.put(entry.suspect(), updated);
     }
 
+    /** Returns whether this host has learned of the last claim within a time. */
+    public boolean wasClaimedWithin(Suspect suspect, long withinNanos, long nowNanos) {
+        Seen seen = mSeen.get(suspect);
+        return seen != null
+                && seen.claimedNanos() != null
+                && nowNanos - seen.claimedNanos() <= withinNanos;
+    }
+
     private static long waitMs(@Nullable Seen seen, PromptQuarantine.Entry entry, long nowMs) {
         int failures = entry.failedProbes();
         if (seen == null) {
@@ -81,8 +113,16 @@
         if (seen == null) {
             return 0;
         }
-        long lostWaitNanos = wasLost(entry.suspect(), itemId) ? LOST_PROBE_WAIT_NANOS : 0;
-        return seen.dueNanos() - nowNanos + lostWaitNanos;
+        return seen.dueNanos() - nowNanos + additionalWaitNanos(entry, itemId);
+    }
+
+    private long additionalWaitNanos(PromptQuarantine.Entry entry, String itemId) {
+        if (!itemId.equals(REQUEST)) {
+            return wasLost(entry.suspect(), itemId) ? LOST_PROBE_WAIT_NANOS : 0;
+        }
+        return entry.failedProbes() < MAX_FAILURES_FOR_REQUESTS
+                ? REQUEST_WAIT_NANOS
+                : SELDOM_REQUEST_WAIT_NANOS;
     }
 
     /** Records that this host has claimed the probe of {@code entry} for an item. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -40,7 +40,7 @@
      * @param failedProbes number of those under which their target ended, and no other one
      * @param nextItemProbeMs when the next one may be claimed, milliseconds since the Unix epoch
      * @param probeTarget incarnation of the target to which the last one was sent; empty when it
-     *     was not sent, when its outcome is known, and for a host that was not told
+     *     was not sent, and for a host that was not told; see {@link #isProbeOpen}
      */
     public record Entry(
             Suspect suspect,
@@ -50,9 +50,11 @@
             int failedProbes,
             long nextItemProbeMs,
             String probeTarget) {
+        /** Target of a probe whose outcome is known; greater than all targets. */
+        private static final String OVER = "~";
+
         private static final Comparator<Entry> BY_PROBES =
                 Comparator.comparingInt(Entry::itemClaims)
-                        .thenComparingInt(Entry::failedProbes)
                         .thenComparing(Entry::probeTarget)
                         .thenComparingLong(Entry::nextItemProbeMs);
 
@@ -91,10 +93,20 @@
             return withProbes(itemClaims, failedProbes, nextItemProbeMs, target);
         }
 
+        /** Returns the entry after the probe that was claimed last is over and said nothing. */
+        public Entry withProbeOver() {
+            return withProbes(itemClaims, failedProbes, nextItemProbeMs, OVER);
+        }
+
+        /** Returns whether the probe that was claimed last was sent and has no known outcome. */
+        public boolean isProbeOpen() {
+            return !probeTarget.isEmpty() && !probeTarget.equals(OVER);
+        }
+
         /** Returns the entry after the probe that was claimed last has failed. */
         public Entry withFailedProbe(long nowMs) {
             long nextMs = nowMs + ProbeSchedule.waitAfterFailuresMs(failedProbes + 1);
-            return withProbes(itemClaims, failedProbes + 1, nextMs, "");
+            return withProbes(itemClaims, failedProbes + 1, nextMs, OVER);
         }
 
         private Entry withProbes(int claims, int failures, long nextMs, String target) {
@@ -229,15 +241,22 @@
     }
 
     /**
-     * Returns whether a request that {@code entry} blocks may be sent as the probe. Only one host
-     * may ask. Items of jobs are probes by {@link ItemProbes} instead.
+     * Returns whether a request that {@code entry} blocks may be sent as the probe after its whole
+     * time. Only one host may ask.
      */
     public boolean mayProbe(Entry entry, String requestId, long nowMs) {
-        if (nowMs < entry.untilMs()) {
-            return false;
-        }
-        Probe probe = probeUnderWay(entry.suspect(), nowMs);
-        return probe == null || probe.requestId().equals(requestId);
+        return nowMs >= entry.untilMs() && isFreeFor(entry.suspect(), requestId, nowMs);
+    }
+
+    /** Returns whether a request is the probe of {@code suspect} that is under way, or none is. */
+    public boolean isFreeFor(Suspect suspect, String requestId, long nowMs) {
+        return probeUnderWay(suspect, nowMs) == null || isProbe(suspect, requestId, nowMs);
+    }
+
+    /** Returns whether a request is the probe of {@code suspect} that is under way. */
+    public boolean isProbe(Suspect suspect, String requestId, long nowMs) {
+        Probe probe = probeUnderWay(suspect, nowMs);
+        return probe != null && probe.requestId().equals(requestId);
     }
 
     private @Nullable Probe probeUnderWay(Suspect suspect, long nowMs) {
@@ -250,12 +269,22 @@
         if (!mayProbe(entry, requestId, nowMs)) {
             return false;
         }
-        if (probeUnderWay(entry.suspect(), nowMs) == null) {
-            mProbes.put(entry.suspect(), new Probe(requestId, nowMs));
-        }
+        startProbe(entry.suspect(), requestId, nowMs);
         return true;
     }
 
+    /** Records that a request is the probe of {@code suspect}, unless one is under way. */
+    public void startProbe(Suspect suspect, String requestId, long nowMs) {
+        if (probeUnderWay(suspect, nowMs) == null) {
+            mProbes.put(suspect, new Probe(requestId, nowMs));
+        }
+    }
+
+    /** Records that the probe of {@code suspect} that may be under way counts no more. */
+    public void endProbe(Suspect suspect) {
+        mProbes.remove(suspect);
+    }
+
     /** Returns whether a request was sent as a probe of {@code suspect}. */
     public boolean isProbed(Suspect suspect) {
         return mProbes.containsKey(suspect);
