Probe with items of one held part before those of several

What callers saw: sound items waited 90 s, since their part was held back together with a bad one and items of both parts were the probes: each end of a target counts as a failure of both parts. Now an item that several quarantines hold back leaves the probe to others for 1.5 s, as one does under which a target was lost, so a sound part that has items of its own is lifted first.

The rest is known red: the part has its three failures before an item of it alone is accepted.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -21,6 +21,12 @@
      */
     private static final long LOST_PROBE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * Additional wait of an item that several quarantines hold back. If its target ends, all of
+     * them have failed, so items of one of them are tried before.
+     */
+    private static final long SEVERAL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     /**
      * Additional wait of requests that callers send, so that items, which are owed, are tried
      * before them. A request that is refused meanwhile may come again.
@@ -98,7 +104,18 @@
                 : ProbeSchedule.OUTCOME_MS;
     }
 
-    /** Returns whether the next probe may be claimed for an item. */
+    /**
+     * Returns whether the next probe may be claimed for an item.
+     *
+     * @param heldBySeveral whether other quarantines hold the item back too
+     */
+    public boolean isDue(
+            PromptQuarantine.Entry entry, String itemId, boolean heldBySeveral, long nowNanos) {
+        long severalWaitNanos = heldBySeveral ? SEVERAL_WAIT_NANOS : 0;
+        return isDue(entry, itemId, nowNanos - severalWaitNanos);
+    }
+
+    /** Returns whether the next probe may be claimed for an item that no other one holds back. */
     public boolean isDue(PromptQuarantine.Entry entry, String itemId, long nowNanos) {
         return mSeen.containsKey(entry.suspect()) && dueInNanos(entry, itemId, nowNanos) <= 0;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
@@ -103,11 +103,12 @@
     void claim(String service, PromptParts prompt, Runnable onClaimed) {
         String itemId = prompt.itemId();
         List<PromptQuarantine.Entry> toClaim = new ArrayList<>();
-        for (PromptQuarantine.Entry entry : mQuarantine.allBlocking(service, prompt)) {
+        List<PromptQuarantine.Entry> holding = mQuarantine.allBlocking(service, prompt);
+        for (PromptQuarantine.Entry entry : holding) {
             if (mayBeSent(entry, itemId)) {
                 continue;
             }
-            if (!isClaimable(entry, itemId)) {
+            if (!isClaimable(entry, itemId, holding.size() > 1)) {
                 return;
             }
             toClaim.add(entry);
@@ -115,8 +116,9 @@
         toClaim.forEach(entry -> claimUnlessFailed(entry, service, prompt, onClaimed));
     }
 
-    private boolean isClaimable(PromptQuarantine.Entry entry, String itemId) {
-        return mProbes.isDue(entry, itemId, mTicker.nanoTime())
+    private boolean isClaimable(
+            PromptQuarantine.Entry entry, String itemId, boolean heldBySeveral) {
+        return mProbes.isDue(entry, itemId, heldBySeveral, mTicker.nanoTime())
                 && !mClaiming.contains(entry.suspect());
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.core.prompt.Suspect;
 import org.sesamepin.node.job.MemoryStore;
 
 /** Plays probes of two hosts that share a store and targets, on a clock that the test moves. */
@@ -64,7 +65,7 @@
                 () -> {
                     mFirst.addPeer(mSecond);
                     mSecond.addPeer(mFirst);
-                    mFirst.identify();
+                    mFirst.identify(ProberHost.SUSPECT);
                 });
         advance(OUTCOME_MS);
     }
@@ -299,4 +300,17 @@
         assertTrue(claims(started, "i3"));
         assertEquals(0, failures(started));
     }
+
+    /** Guards against a sound part that counts as bad with another part of the same items. */
+    @Test
+    void anItemThatTwoPartsHoldBackLeavesTheProbeToItemsOfOne() throws Exception {
+        onLoop(() -> mFirst.identify(new Suspect(ProberHost.SERVICE, Set.of("bad"))));
+        advance(OUTCOME_MS);
+        onLoop(() -> mFirst.claimWithPart("i1", "bad"));
+        assertEquals(0, claims(mFirst));
+        assertTrue(claims(mSecond, "i2"));
+        advance(OUTCOME_MS + LOST_ITEM_WAIT_MS);
+        onLoop(() -> mFirst.claimWithPart("i1", "bad"));
+        assertEquals(2, claims(mFirst));
+    }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ProberHost.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ProberHost.java
@@ -85,9 +85,9 @@
         mPeers.clear();
     }
 
-    /** Identifies the suspect. */
-    void identify() {
-        announce(PromptQuarantine.Entry.startingAt(SUSPECT, System.currentTimeMillis()), true);
+    /** Identifies a suspect. */
+    void identify(Suspect suspect) {
+        announce(PromptQuarantine.Entry.startingAt(suspect, System.currentTimeMillis()), true);
     }
 
     private void announce(PromptQuarantine.Entry entry, boolean toStore) {
@@ -124,6 +124,12 @@
         return mProber.mayBeSent(entry(), item);
     }
 
+    /** Claims the probes of all that holds back an item with a further part, if they are due. */
+    void claimWithPart(String item, String part) {
+        PromptParts prompt = new PromptParts(List.of("shared", part)).withItem(item);
+        mProber.claim(SERVICE, prompt, () -> {});
+    }
+
     boolean mayBeSent(String item) {
         return mProber.mayBeSent(entry(), item);
     }
