Count only what a probe showed: answers to the review of the schedule

Found by a colleague who read the trace and the fix, by reading: - a probe that was preempted, refused or handed over stayed open, so that the later end of its target counted as its failure.

Shown by theWaitAfterAFailureThatIsFoundLateBeginsWithItsClaim and aPreemptedProbeWhoseTargetEndsLaterHasNotFailed; the others by reading only.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -27,18 +27,6 @@
      */
     private static final long SEVERAL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-    /**
-     * Additional wait of requests that callers send, so that items, which are owed, are tried
-     * before them. A request that is refused meanwhile may come again.
-     */
-    private static final long REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-    /** Failed probes from which on requests are probes seldom, since each costs a caller one. */
-    private static final int MAX_FAILURES_FOR_REQUESTS = 2;
-
-    /** Additional wait of requests from {@link #MAX_FAILURES_FOR_REQUESTS} on. */
-    private static final long SELDOM_REQUEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(90);
-
     /** Stands for the id of the next request of a caller. */
     public static final String REQUEST = "";
 
@@ -77,11 +65,15 @@
         if (isKnown) {
             return;
         }
-        long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs(seen, entry, nowMs));
         Long claimedNanos = seen == null ? null : seen.claimedNanos();
         if (seen != null && entry.itemClaims() > seen.claims()) {
             claimedNanos = nowNanos;
         }
+        boolean failed = seen != null && entry.failedProbes() > seen.failures();
+        // A failure may be found late; items have waited since the claim.
+        long sinceNanos = failed && claimedNanos != null ? claimedNanos : nowNanos;
+        long waitMs = waitMs(seen, entry, nowMs);
+        long dueNanos = sinceNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
         Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), claimedNanos, dueNanos);
         mSeen.put(entry.suspect(), updated);
     }
@@ -137,9 +129,7 @@
         if (!itemId.equals(REQUEST)) {
             return wasLost(entry.suspect(), itemId) ? LOST_PROBE_WAIT_NANOS : 0;
         }
-        return entry.failedProbes() < MAX_FAILURES_FOR_REQUESTS
-                ? REQUEST_WAIT_NANOS
-                : SELDOM_REQUEST_WAIT_NANOS;
+        return TimeUnit.MILLISECONDS.toNanos(ProbeSchedule.requestWaitMs(entry.failedProbes()));
     }
 
     /** Records that this host has claimed the probe of {@code entry} for an item. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
@@ -16,28 +16,50 @@
      */
     static final long OUTCOME_MS = TimeUnit.SECONDS.toMillis(4);
 
-    /** Wait after a failed probe, milliseconds. */
+    /** Time from the claim of a probe that failed to the next one, milliseconds. */
     private static final long FAILED_WAIT_MS = TimeUnit.SECONDS.toMillis(8);
 
     /** Failures in a row that sound parts hardly meet, since each target ended alone. */
     private static final int CERTAIN_FAILURES = 3;
 
-    /** Wait once {@link #CERTAIN_FAILURES} probes have failed, milliseconds. */
+    /** The same once {@link #CERTAIN_FAILURES} probes have failed, milliseconds. */
     private static final long CERTAIN_WAIT_MS = TimeUnit.SECONDS.toMillis(90);
 
     /**
-     * Longest time for which parts hold items back before one is sent as a probe, milliseconds,
-     * unless {@link #CERTAIN_FAILURES} probes in a row have failed.
+     * Longest time from the claim of a probe to the next one, milliseconds, unless {@link
+     * #CERTAIN_FAILURES} probes have failed.
      */
     public static final long MAX_WAIT_MS = FAILED_WAIT_MS;
 
+    /**
+     * Additional wait of requests that callers send, milliseconds, so that items, which are owed,
+     * are tried before them. A request that is refused meanwhile may come again.
+     */
+    private static final long REQUEST_WAIT_MS = TimeUnit.SECONDS.toMillis(4);
+
+    /** Failures that requests are counted for; from then on they are probes seldom. */
+    private static final int MAX_REQUEST_FAILURES = 2;
+
+    /** Additional wait of requests from {@link #MAX_REQUEST_FAILURES} on, milliseconds. */
+    private static final long SELDOM_REQUEST_WAIT_MS = TimeUnit.SECONDS.toMillis(90);
+
     private ProbeSchedule() {}
 
+    /** Returns whether a failed request counts after {@code failures} failed probes. */
+    static boolean countsRequest(int failures) {
+        return failures < MAX_REQUEST_FAILURES;
+    }
+
+    /** Returns the wait of requests beyond that of items, milliseconds. */
+    static long requestWaitMs(int failures) {
+        return countsRequest(failures) ? REQUEST_WAIT_MS : SELDOM_REQUEST_WAIT_MS;
+    }
+
     /**
      * Returns the failures for an entry of a host of an older version, which counts claims only.
      */
     public static int failuresOfClaims(int claims) {
-        return Math.min(claims, CERTAIN_FAILURES - 1);
+        return Math.min(claims, 1);
     }
 
     /** Returns the wait after the last of {@code failures} failed probes, milliseconds. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -69,6 +69,11 @@
             return new Entry(suspect, nowMs, nowMs + durationMs);
         }
 
+        /** Returns when a request may be a probe, milliseconds since the Unix epoch. */
+        public long nextRequestProbeMs() {
+            return nextItemProbeMs + ProbeSchedule.requestWaitMs(failedProbes);
+        }
+
         /** Returns the entry after a probe that ended another target. */
         Entry prolonged(long nowMs) {
             long durationMs = Math.min(MAX_DURATION_MS, 2 * (untilMs - sinceMs));
@@ -109,6 +114,14 @@
             return withProbes(itemClaims, failedProbes + 1, nextMs, OVER);
         }
 
+        /**
+         * Returns the entry after the probe that was claimed last, a request, ended its target.
+         * Requests alone never make the causes certain for which items wait longest.
+         */
+        public Entry withFailedRequest(long nowMs) {
+            return ProbeSchedule.countsRequest(failedProbes) ? withFailedProbe(nowMs) : this;
+        }
+
         private Entry withProbes(int claims, int failures, long nextMs, String target) {
             return new Entry(suspect, sinceMs, untilMs, claims, failures, nextMs, target);
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -158,6 +158,7 @@
         progress().recordSuspension(mIndex, now);
         long answeredNanos = mHasEvent ? now - mFirstEventAt : 0;
         mContext.promptGuard().recordPreemption(mTarget.service(), mPrompt, answeredNanos);
+        recordRunOver();
         mContext.metrics().countItem("suspended");
         LOG.info(
                 "step=item request={} job={} target={} outcome=suspended after_event={}",
@@ -260,7 +261,12 @@
         finish("broken", reason);
     }
 
+    private void recordRunOver() {
+        mContext.promptGuard().recordItemRunOver(mTarget.service(), mTarget.incarnation(), mPrompt);
+    }
+
     private void finish(String outcome, String cause) {
+        recordRunOver();
         mContext.vertx().cancelTimer(mBudgetTimer);
         mJob.runs().remove(mIndex);
         mContext.metrics().countItem(outcome);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -102,7 +102,7 @@
                         mSuspects,
                         mQuarantineStore,
                         targets,
-                        new OutageCheck(mDetector::isRefusing, ThreadLocalRandom.current()),
+                        new OutageCheck(mDetector::hasEnded, ThreadLocalRandom.current()),
                         this::announceProbe);
     }
 
@@ -190,6 +190,11 @@
         mItemProber.claim(service, prompt, onClaimed);
     }
 
+    /** Records that the run of an item at a target ended otherwise than by a lost target. */
+    public void recordItemRunOver(String service, String target, PromptParts prompt) {
+        mItemProber.recordRunOver(service, target, prompt);
+    }
+
     /** Records that an item was sent to a target. */
     public void recordItemSent(String service, String target, PromptParts prompt) {
         mItemProber.recordSent(service, target, prompt);
@@ -260,7 +265,7 @@
                             end.service(), run.parts(), System.currentTimeMillis());
             if (prolonged != null) {
                 PromptQuarantine.Entry failed =
-                        prolonged.withFailedProbe(System.currentTimeMillis());
+                        prolonged.withFailedRequest(System.currentTimeMillis());
                 add(failed);
                 announce(failed, "prolonged");
             }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/QuarantineProblems.java
@@ -48,7 +48,7 @@
 
     /** Returns the time after which a caller may try a prompt in quarantine again, milliseconds. */
     private static long retryAfterMs(PromptQuarantine.Entry entry) {
-        long nextMs = entry.suspect().isContent() ? entry.untilMs() : entry.nextItemProbeMs();
+        long nextMs = entry.suspect().isContent() ? entry.untilMs() : entry.nextRequestProbeMs();
         return Math.max(MIN_RETRY_AFTER_MS, nextMs - System.currentTimeMillis());
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/TargetEndDetector.java
@@ -88,9 +88,14 @@
                         });
     }
 
-    /** Returns whether a target refuses connections. */
-    Future<Boolean> isRefusing(LostTarget target) {
-        return connect(target).map(outcome -> outcome == Outcome.ENDED);
+    /** Returns whether a target refuses connections, and not for the path of this host. */
+    Future<Boolean> hasEnded(LostTarget target) {
+        return connect(target)
+                .compose(
+                        outcome ->
+                                outcome == Outcome.ENDED
+                                        ? mConfirmation.hasEnded(target)
+                                        : Future.succeededFuture(false));
     }
 
     private Future<Outcome> connect(LostTarget target) {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
@@ -257,6 +257,37 @@
         assertEquals(1, failures(mSecond));
     }
 
+    /** Guards against a wait that starts anew when a failure is found late. */
+    @Test
+    void theWaitAfterAFailureThatIsFoundLateBeginsWithItsClaim() throws Exception {
+        sendProbe();
+        onLoop(
+                () -> {
+                    mFirst.end();
+                    end("t1");
+                    lapse();
+                });
+        advance(OUTCOME_MS);
+        assertFalse(claims(mSecond, "i2"));
+        advance(FAILED_WAIT_MS - OUTCOME_MS);
+        assertTrue(claims(mSecond, "i2"));
+    }
+
+    /** Guards against a wait for a target that ends after a preempted probe has left it. */
+    @Test
+    void aPreemptedProbeWhoseTargetEndsLaterHasNotFailed() throws Exception {
+        sendProbe();
+        onLoop(
+                () -> {
+                    mFirst.recordRunOver("i1", "t1");
+                    end("t1");
+                    lapse();
+                });
+        advance(OUTCOME_MS);
+        assertTrue(claims(mSecond, "i2"));
+        assertEquals(0, failures(mSecond));
+    }
+
     @Test
     void aProbeWhoseHostEndedAloneHasNotFailed() throws Exception {
         sendProbe();
