Confirm ends of targets while none runs

A request that ends every target was not held back in a fleet of three targets: two cases of RequestThatEndsTargetsTest failed on (hostThatStartsAfterAllHaveEndedKnowsTheRequest, hostsKnowTheRequestWhileTheStoreTakesNoWrites: "not held back at node 0"). Cause: since then an end counts only when this host or the peer that is asked reaches another target, and none ran.

Now a refusal shows an end also when none of up to eight peers can tell and this host is not isolated. A cut of some hosts does not: a peer that is not cut off reaches the target. A cut of all hosts that resets and refuses is not told from the end of all targets.

RequestThatEndsTargetsTest (6), EndingTargetsTest (2) and two cases of IsolatedHostTest (cutPutsNoPromptInQuarantine, hostThatNoPeerHelpsRejectsSoon) pass.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTunnels.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTunnels.java
@@ -38,7 +38,6 @@
     }
 
     private static final long ANSWER_TIMEOUT_MS = 300;
-    private static final int MAX_PEERS_TO_COMPARE = 3;
 
     private final Vertx mVertx;
     private final Ticker mTicker;
@@ -121,11 +120,15 @@
                 e instanceof TunnelException tunnel ? tunnel.outcome() : "failed");
     }
 
-    /** Asks peers whether they reach a target. */
-    public Future<PeerView> view(TargetInstance target) {
+    /**
+     * Asks peers whether they reach a target.
+     *
+     * @param maxPeers number of peers to ask, one after the other, until one can tell
+     */
+    public Future<PeerView> view(TargetInstance target, int maxPeers) {
         RequestOptions options = TargetClient.requestOptions(target.address(), HttpMethod.GET, "/");
         String id = "view-of-" + target.incarnation();
-        return open(target, id, options, false, MAX_PEERS_TO_COMPARE)
+        return open(target, id, options, false, maxPeers)
                 .map(
                         request -> {
                             ClientCodec.discard(request);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAccess.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAccess.java
@@ -12,6 +12,9 @@
 
 /** The components with which this host reaches targets, and lets peers reach them through it. */
 final class TargetAccess implements AutoCloseable {
+    /** So many that hardly all of them are cut off while others are not. */
+    private static final int MAX_PEERS_TO_CONFIRM = 8;
+
     private final ServingState mState;
     private final TargetClient mClient;
     private final TargetReachability mReachability;
@@ -68,7 +71,16 @@
         TargetInstance target = mState.targets().findIncarnation(lost.id());
         return target == null
                 ? Future.succeededFuture(false)
-                : mPeerTunnels.view(target).map(PeerTunnels.PeerView.UNREACHABLE::equals);
+                : mPeerTunnels.view(target, MAX_PEERS_TO_CONFIRM).map(this::showsEnd);
+    }
+
+    /** A refusal is that of an ended target when no host that is asked reaches any target. */
+    private boolean showsEnd(PeerTunnels.PeerView view) {
+        return switch (view) {
+            case REACHED -> false;
+            case UNREACHABLE -> true;
+            case UNKNOWN -> !mReachability.isIsolated();
+        };
     }
 
     /** Registers the metrics about the path to the targets. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetReachability.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetReachability.java
@@ -31,6 +31,7 @@
     /** So many that hardly all of them have ended while others run. */
     private static final int FURTHER_TARGETS_OF_ROUND = 8;
 
+    private static final int MAX_PEERS_TO_COMPARE = 3;
     private static final long PROBE_INTERVAL_MS = 200;
     private static final long MIN_ROUND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long MIN_ASKED_ROUND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -176,7 +177,8 @@
         TargetInstance target = mState.targets().findIncarnation(incarnation);
         return target == null
                 ? Future.succeededFuture()
-                : mPeers.view(target).onSuccess(view -> record(incarnation, view));
+                : mPeers.view(target, MAX_PEERS_TO_COMPARE)
+                        .onSuccess(view -> record(incarnation, view));
     }
 
     private void record(String incarnation, PeerTunnels.PeerView view) {
