--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
@@ -6,11 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.AfterEach;
@@ -42,6 +45,14 @@
     /** An unreadable value is quoted in the log up to a limit. */
     private static final int MAX_LINE_CHARS = 500;
 
+    /** Wait of builds up to e40d628 after a claim, by the number of claims. */
+    private static final long EARLIER_FIRST_WAIT_MS = 5_000;
+
+    private static final double EARLIER_WAIT_FACTOR = 2.5;
+
+    /** Time from the last end of a target to the last sound item, at most. */
+    private static final long MAX_HOLD_MS = 18_000;
+
     /** Time in which a write would be tried again a few times. */
     private static final long WATCHED_MS = 3_500;
 
@@ -149,6 +160,23 @@
         assertEquals(1, mLog.all().size(), mLog.all().toString());
     }
 
+    /** Guards against items that an earlier build holds since probes of this one said nothing. */
+    @Tag("known-red")
+    @Test
+    void probesThatSaidNothingHoldNoItemsAtEarlierBuilds() throws Exception {
+        CompletableFuture<String> stored = new CompletableFuture<>();
+        PromptQuarantine.Entry first = new PromptQuarantine.Entry(SUSPECT, SINCE_MS, UNTIL_MS);
+        PromptQuarantine.Entry claimedTwice = first.withItemClaim(0).withItemClaim(0);
+        mVertx.runOnContext(
+                v -> {
+                    mQuarantine.claim(claimedTwice);
+                    stored.complete(mStore.textOf(KEY));
+                });
+        int claims = new JsonObject(stored.get(5, TimeUnit.SECONDS)).getInteger("item_claims");
+        double waitMs = EARLIER_FIRST_WAIT_MS * Math.pow(EARLIER_WAIT_FACTOR, claims + 1);
+        assertTrue(waitMs <= MAX_HOLD_MS, claims + " claims, " + waitMs + " ms after the next");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"00", "5803616263" + "00", "5c1806" + "7a7a7a7a7a7a" + "00" + "00"})
     void messageWithoutProbesOrWithUnknownFieldsIsRead(String end) throws Exception {
