Name the claims of a quarantine for probes of items and requests alike

probeClaims, withClaim and nextProbeMs in place of itemClaims, withItemClaim and nextItemProbeMs, since requests are probes as well; comments that were no longer true. Names in records and messages stay.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ItemProbes.java
@@ -60,13 +60,13 @@
         Seen seen = mSeen.get(entry.suspect());
         boolean isKnown =
                 seen != null
-                        && seen.claims() == entry.itemClaims()
+                        && seen.claims() == entry.probeClaims()
                         && seen.failures() == entry.failedProbes();
         if (isKnown) {
             return;
         }
         Long claimedNanos = seen == null ? null : seen.claimedNanos();
-        if (seen != null && entry.itemClaims() > seen.claims()) {
+        if (seen != null && entry.probeClaims() > seen.claims()) {
             claimedNanos = nowNanos;
         }
         boolean failed = seen != null && entry.failedProbes() > seen.failures();
@@ -74,7 +74,7 @@
         long sinceNanos = failed && claimedNanos != null ? claimedNanos : nowNanos;
         long waitMs = waitMs(seen, entry, nowMs);
         long dueNanos = sinceNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
-        Seen updated = new Seen(entry.itemClaims(), entry.failedProbes(), claimedNanos, dueNanos);
+        Seen updated = new Seen(entry.probeClaims(), entry.failedProbes(), claimedNanos, dueNanos);
         mSeen.put(entry.suspect(), updated);
     }
 
@@ -89,7 +89,7 @@
     private static long waitMs(@Nullable Seen seen, PromptQuarantine.Entry entry, long nowMs) {
         int failures = entry.failedProbes();
         if (seen == null) {
-            return ProbeSchedule.remainingMs(failures, entry.nextItemProbeMs() - nowMs);
+            return ProbeSchedule.remainingMs(failures, entry.nextProbeMs() - nowMs);
         }
         return failures > seen.failures()
                 ? ProbeSchedule.waitAfterFailuresMs(failures)
@@ -135,14 +135,14 @@
     /** Records that this host has claimed the probe of {@code entry} for an item. */
     public void start(PromptQuarantine.Entry entry, String itemId, long nowNanos) {
         mClaims.computeIfAbsent(entry.suspect(), s -> new HashMap<>())
-                .put(itemId, new Claim(entry.itemClaims(), nowNanos));
+                .put(itemId, new Claim(entry.probeClaims(), nowNanos));
     }
 
     /** Returns whether an item may be sent now as the probe of {@code entry}. */
     public boolean mayBeSent(PromptQuarantine.Entry entry, String itemId, long nowNanos) {
         Claim claim = mClaims.getOrDefault(entry.suspect(), Map.of()).get(itemId);
         return claim != null
-                && claim.number() == entry.itemClaims()
+                && claim.number() == entry.probeClaims()
                 && nowNanos - claim.atNanos() <= MAX_SEND_DELAY_NANOS;
     }
 
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
@@ -19,10 +19,10 @@
     /** Time from the claim of a probe that failed to the next one, milliseconds. */
     private static final long FAILED_WAIT_MS = TimeUnit.SECONDS.toMillis(8);
 
-    /** Failures in a row that sound parts hardly meet, since each target ended alone. */
+    /** Failures since the last lift that sound parts hardly meet, as each target ended alone. */
     private static final int CERTAIN_FAILURES = 3;
 
-    /** The same once {@link #CERTAIN_FAILURES} probes have failed, milliseconds. */
+    /** Time from a claim to the next one after {@link #CERTAIN_FAILURES}, milliseconds. */
     private static final long CERTAIN_WAIT_MS = TimeUnit.SECONDS.toMillis(90);
 
     /**
@@ -37,7 +37,7 @@
      */
     private static final long REQUEST_WAIT_MS = TimeUnit.SECONDS.toMillis(4);
 
-    /** Failures that requests are counted for; from then on they are probes seldom. */
+    /** Failures up to which failed requests count; from then on requests are probes seldom. */
     private static final int MAX_REQUEST_FAILURES = 2;
 
     /** Additional wait of requests from {@link #MAX_REQUEST_FAILURES} on, milliseconds. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -9,10 +9,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The parts of prompts that are not sent to targets, since targets ended under them. After a while
- * one host sends a single request as a probe: when it is answered whole the quarantine is lifted,
- * else it goes on for twice the time. Items of jobs, which are owed, are probes much sooner: see
- * {@link ItemProbes}. Not thread-safe.
+ * The parts of prompts that are not sent to targets, since targets ended under them. Now and then
+ * one item of a job or one request is sent as a probe, by {@link ItemProbes}; when it is answered,
+ * the quarantine is lifted. A whole content of a request is probed only after its whole time, which
+ * doubles with each target that ends. Not thread-safe.
  */
 public final class PromptQuarantine {
     private static final long FIRST_DURATION_MS = TimeUnit.MINUTES.toMillis(10);
@@ -36,9 +36,9 @@
      * @param suspect the parts
      * @param sinceMs when it began, milliseconds since the Unix epoch
      * @param untilMs when a probe may be sent, milliseconds since the Unix epoch
-     * @param itemClaims number of probes with items that hosts have claimed
+     * @param probeClaims number of probes that hosts have claimed
      * @param failedProbes number of those under which their target ended, and no other one
-     * @param nextItemProbeMs when the next one may be claimed, milliseconds since the Unix epoch
+     * @param nextProbeMs when the next one may be claimed, milliseconds since the Unix epoch
      * @param probeTarget incarnation of the target to which the last one was sent; empty when it
      *     was not sent, and for a host that was not told; see {@link #isProbeOpen}
      */
@@ -46,19 +46,19 @@
             Suspect suspect,
             long sinceMs,
             long untilMs,
-            int itemClaims,
+            int probeClaims,
             int failedProbes,
-            long nextItemProbeMs,
+            long nextProbeMs,
             String probeTarget) {
-        /** Target of a probe whose outcome is known; greater than all targets. */
+        /** Stands for the target of a probe that is over; comes after all targets in order. */
         private static final String OVER = "~";
 
         private static final Comparator<Entry> BY_PROBES =
-                Comparator.comparingInt(Entry::itemClaims)
+                Comparator.comparingInt(Entry::probeClaims)
                         .thenComparing(Entry::probeTarget)
-                        .thenComparingLong(Entry::nextItemProbeMs);
+                        .thenComparingLong(Entry::nextProbeMs);
 
-        /** Creates an entry of which no probe with an item was claimed. */
+        /** Creates an entry of which no probe was claimed. */
         public Entry(Suspect suspect, long sinceMs, long untilMs) {
             this(suspect, sinceMs, untilMs, 0, 0, sinceMs + ProbeSchedule.OUTCOME_MS, "");
         }
@@ -71,7 +71,7 @@
 
         /** Returns when a request may be a probe, milliseconds since the Unix epoch. */
         public long nextRequestProbeMs() {
-            return nextItemProbeMs + ProbeSchedule.requestWaitMs(failedProbes);
+            return nextProbeMs + ProbeSchedule.requestWaitMs(failedProbes);
         }
 
         /** Returns the entry after a probe that ended another target. */
@@ -81,26 +81,26 @@
                     suspect,
                     nowMs,
                     nowMs + durationMs,
-                    itemClaims,
+                    probeClaims,
                     failedProbes,
-                    nextItemProbeMs,
+                    nextProbeMs,
                     probeTarget);
         }
 
-        /** Returns the entry after the next probe with an item was claimed. */
-        public Entry withItemClaim(long nowMs) {
+        /** Returns the entry after the next probe was claimed. */
+        public Entry withClaim(long nowMs) {
             long nextMs = nowMs + ProbeSchedule.OUTCOME_MS;
-            return withProbes(itemClaims + 1, failedProbes, nextMs, "");
+            return withProbes(probeClaims + 1, failedProbes, nextMs, "");
         }
 
         /** Returns the entry after the probe that was claimed last was sent to a target. */
         public Entry withProbeSentTo(String target) {
-            return withProbes(itemClaims, failedProbes, nextItemProbeMs, target);
+            return withProbes(probeClaims, failedProbes, nextProbeMs, target);
         }
 
         /** Returns the entry after the probe that was claimed last is over and said nothing. */
         public Entry withProbeOver() {
-            return withProbes(itemClaims, failedProbes, nextItemProbeMs, OVER);
+            return withProbes(probeClaims, failedProbes, nextProbeMs, OVER);
         }
 
         /** Returns whether the probe that was claimed last was sent and has no known outcome. */
@@ -111,7 +111,7 @@
         /** Returns the entry after the probe that was claimed last has failed. */
         public Entry withFailedProbe(long nowMs) {
             long nextMs = nowMs + ProbeSchedule.waitAfterFailuresMs(failedProbes + 1);
-            return withProbes(itemClaims, failedProbes + 1, nextMs, OVER);
+            return withProbes(probeClaims, failedProbes + 1, nextMs, OVER);
         }
 
         /**
@@ -141,9 +141,9 @@
                     suspect,
                     newer.sinceMs,
                     newer.untilMs,
-                    last.itemClaims,
+                    last.probeClaims,
                     Math.max(failedProbes, other.failedProbes),
-                    last.nextItemProbeMs,
+                    last.nextProbeMs,
                     last.probeTarget);
         }
     }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ItemProbesTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ItemProbesTest.java
@@ -33,7 +33,7 @@
         mProbes.recordEntry(entry, nowMs, nowNanos);
         for (String item : List.of("bad", "sound")) {
             if (mProbes.isDue(entry, item, nowNanos)) {
-                PromptQuarantine.Entry claimed = entry.withItemClaim(nowMs);
+                PromptQuarantine.Entry claimed = entry.withClaim(nowMs);
                 mProbes.recordEntry(claimed, nowMs, nowNanos);
                 mProbes.start(claimed, item, nowNanos);
                 mSent.add(item);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ProbeFleet.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/ProbeFleet.java
@@ -239,7 +239,7 @@
             mStored = mStored.mergedWith(entry.withFailedProbe(clockMs));
             return;
         }
-        mStored = mStored.mergedWith(entry.withItemClaim(clockMs));
+        mStored = mStored.mergedWith(entry.withClaim(clockMs));
         host.read(mStored, mNowMs);
         if (!chance(UNKNOWN_CHANCE)) {
             host.mProbes.start(mStored, host.mItem, nanos(mNowMs));
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineMergeTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineMergeTest.java
@@ -56,7 +56,7 @@
 
     private PromptQuarantine.Entry changed(PromptQuarantine.Entry entry, Random random) {
         return switch (random.nextInt(3)) {
-            case 0 -> entry.withItemClaim(mNowMs);
+            case 0 -> entry.withClaim(mNowMs);
             case 1 -> entry.withProbeSentTo("t" + random.nextInt(9));
             default -> entry.withFailedProbe(mNowMs);
         };
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptQuarantineTest.java
@@ -69,13 +69,13 @@
 
     @Test
     void aPartThatIsIdentifiedAgainAfterItsLiftIsProbedLater() {
-        long firstMs = mQuarantine.newEntry(SUSPECT, 0).nextItemProbeMs();
+        long firstMs = mQuarantine.newEntry(SUSPECT, 0).nextProbeMs();
         mQuarantine.add(mEntry);
         assertFalse(mQuarantine.wasLifted(SUSPECT));
         mQuarantine.lift(SUSPECT);
         assertTrue(mQuarantine.wasLifted(SUSPECT));
         PromptQuarantine.Entry again = mQuarantine.newEntry(SUSPECT, TEN_MINUTES_MS);
-        assertTrue(again.nextItemProbeMs() - TEN_MINUTES_MS >= 2 * firstMs);
+        assertTrue(again.nextProbeMs() - TEN_MINUTES_MS >= 2 * firstMs);
     }
 
     @Test
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/VirtualHost.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/VirtualHost.java
@@ -279,7 +279,7 @@
 
     private void claim(PromptQuarantine.Entry entry, VirtualItem item, Runnable onClaimed) {
         Suspect suspect = entry.suspect();
-        PromptQuarantine.Entry claimed = entry.withItemClaim(wallMs());
+        PromptQuarantine.Entry claimed = entry.withClaim(wallMs());
         VirtualStore.Stored stored = mStored.get(suspect);
         mClaiming.add(suspect);
         mStore.commit(
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/VirtualStore.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/VirtualStore.java
@@ -158,9 +158,9 @@
                 entry.suspect(),
                 entry.sinceMs(),
                 entry.untilMs(),
-                entry.itemClaims(),
+                entry.probeClaims(),
                 entry.failedProbes(),
-                entry.nextItemProbeMs(),
+                entry.nextProbeMs(),
                 "");
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/ItemProber.java
@@ -20,7 +20,9 @@
 /**
  * Sends items that a quarantine holds back as probes. A probe is claimed in the store, so that the
  * fleet sends one at a time. It has failed when its target ended and no other target did without
- * one of the suspected parts; otherwise it says nothing. Confined to the event loop.
+ * one of the suspected parts; a probe whose host told no outcome is judged by the next claimer.
+ * Probes with requests of callers are claimed here, and judged by {@link PromptGuard}. Confined to
+ * the event loop.
  */
 final class ItemProber {
     private static final Logger LOG = LoggerFactory.getLogger(ItemProber.class);
@@ -171,7 +173,7 @@
     private void claim(
             PromptQuarantine.Entry entry, String service, PromptParts prompt, Runnable onClaimed) {
         Suspect suspect = entry.suspect();
-        PromptQuarantine.Entry claimed = entry.withItemClaim(System.currentTimeMillis());
+        PromptQuarantine.Entry claimed = entry.withClaim(System.currentTimeMillis());
         long claimedAt = mTicker.nanoTime();
         mClaiming.add(suspect);
         mStore.claim(claimed)
@@ -327,9 +329,9 @@
                 entry.suspect().service(),
                 itemId,
                 target.isEmpty() ? "-" : target,
-                entry.itemClaims(),
+                entry.probeClaims(),
                 entry.failedProbes(),
-                entry.nextItemProbeMs(),
+                entry.nextProbeMs(),
                 outcome,
                 cause);
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptMessages.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptMessages.java
@@ -36,9 +36,9 @@
     static PromptQuarantineEntry encode(PromptQuarantine.Entry entry) {
         ItemProbeState probes =
                 new ItemProbeState(
-                        entry.itemClaims(),
+                        entry.probeClaims(),
                         entry.failedProbes(),
-                        entry.nextItemProbeMs(),
+                        entry.nextProbeMs(),
                         entry.probeTarget());
         return new PromptQuarantineEntry(
                         entry.suspect().service(),
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -166,9 +166,9 @@
                 .put("until_ms", entry.untilMs())
                 // Hosts of older versions wait the longer the more claims they read here.
                 .put("item_claims", entry.failedProbes())
-                .put("probe_claims", entry.itemClaims())
+                .put("probe_claims", entry.probeClaims())
                 .put("failed_probes", entry.failedProbes())
-                .put("next_item_probe_ms", entry.nextItemProbeMs())
+                .put("next_item_probe_ms", entry.nextProbeMs())
                 .encode();
     }
 
@@ -204,7 +204,7 @@
                 entry.untilMs(),
                 claims,
                 failures,
-                json.getLong("next_item_probe_ms", entry.nextItemProbeMs()),
+                json.getLong("next_item_probe_ms", entry.nextProbeMs()),
                 "");
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/ItemProberTest.java
@@ -114,7 +114,7 @@
     }
 
     private int claims(ProberHost host) throws Exception {
-        return get(() -> host.entry().itemClaims());
+        return get(() -> host.entry().probeClaims());
     }
 
     private int failures(ProberHost host) throws Exception {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
@@ -165,7 +165,7 @@
     void probesThatSaidNothingHoldNoItemsAtEarlierBuilds() throws Exception {
         CompletableFuture<String> stored = new CompletableFuture<>();
         PromptQuarantine.Entry first = new PromptQuarantine.Entry(SUSPECT, SINCE_MS, UNTIL_MS);
-        PromptQuarantine.Entry claimedTwice = first.withItemClaim(0).withItemClaim(0);
+        PromptQuarantine.Entry claimedTwice = first.withClaim(0).withClaim(0);
         mVertx.runOnContext(
                 v -> {
                     mQuarantine.claim(claimedTwice);
