--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/RecordedJobTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/RecordedJobTest.java
@@ -41,7 +41,7 @@
     private static final String ITEMS =
             "{\"items\":[{\"id\":\"i1\",\"path\":\"/b/1\",\"headers\":{\"Model\":\"m\"},"
                     + "\"body\":\"b25l\",\"tokens\":10},{\"id\":\"i2\",\"path\":\"/b/2\","
-                    + "\"headers\":{\"Prompt-Prefix\":\"a1b2c3d4:200\"},\"body\":\"dHdv\","
+                    + "\"headers\":{\"X-Prompt-Parts\":\"a1b2c3d4:200\"},\"body\":\"dHdv\","
                     + "\"tokens\":10}]}";
     private static final String RESULTS =
             "{\"writer\":1796587200123,\"results\":[{\"id\":\"i1\",\"done\":true,"
