Count calls to the store by purpose

Cause: the calls of a large fleet were counted by kind alone, so that nobody could tell which part of a host makes them. Change: each call has a purpose, told by its keys; a counter by purpose, kind and outcome, and a log line every ten seconds a host.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/MeteredStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/MeteredStore.java
@@ -9,50 +9,54 @@
 import org.sesamepin.node.spi.StoreTransaction;
 import org.sesamepin.node.spi.WatchableStore;
 
-/** Forwards calls to a store and counts them by kind and outcome. */
+/** Forwards calls to a store and counts them by purpose, kind and outcome. */
 final class MeteredStore implements WatchableStore {
     private final WatchableStore mStore;
-    private final ServingMetrics mMetrics;
+    private final FleetProtocol mProtocol;
+    private final StoreCallLog mCalls;
 
-    MeteredStore(WatchableStore store, ServingMetrics metrics) {
+    MeteredStore(WatchableStore store, FleetProtocol protocol, StoreCallLog calls) {
         mStore = store;
-        mMetrics = metrics;
+        mProtocol = protocol;
+        mCalls = calls;
     }
 
-    private <T> Future<T> count(String kind, Future<T> call) {
-        return call.onComplete(
-                result ->
-                        mMetrics.countStoreCall(kind, result.succeeded() ? "answered" : "failed"));
+    private <T> Future<T> count(StoreCallPurpose purpose, String kind, Future<T> call) {
+        mCalls.recordSent(purpose);
+        return call.onComplete(result -> mCalls.recordEnd(purpose, kind, result.succeeded()));
     }
 
     @Override
     public Future<StoreListing> list(String prefix) {
-        return count("list", mStore.list(prefix));
+        return count(StoreCallPurpose.ofRead(prefix, mProtocol), "list", mStore.list(prefix));
     }
 
     @Override
     public Future<StoreChanges> watch(String prefix, long revision, long waitMs) {
-        return count("watch", mStore.watch(prefix, revision, waitMs));
+        return count(
+                StoreCallPurpose.ofRead(prefix, mProtocol),
+                "watch",
+                mStore.watch(prefix, revision, waitMs));
     }
 
     @Override
     public Future<StoreResult> commit(StoreTransaction transaction) {
-        return count("commit", mStore.commit(transaction));
+        return count(StoreCallPurpose.ofWrite(transaction), "commit", mStore.commit(transaction));
     }
 
     @Override
     public Future<Long> grantLeaseMs(long ttlMs) {
-        return count("lease-grant", mStore.grantLeaseMs(ttlMs));
+        return count(StoreCallPurpose.LEASE, "lease-grant", mStore.grantLeaseMs(ttlMs));
     }
 
     @Override
     public Future<Boolean> keepAlive(long lease) {
-        return count("lease-renewal", mStore.keepAlive(lease));
+        return count(StoreCallPurpose.LEASE, "lease-renewal", mStore.keepAlive(lease));
     }
 
     @Override
     public Future<Void> revokeLease(long lease) {
-        return count("lease-end", mStore.revokeLease(lease));
+        return count(StoreCallPurpose.LEASE, "lease-end", mStore.revokeLease(lease));
     }
 
     @Override
@@ -62,7 +66,7 @@
 
     @Override
     public Future<StoreRelayCall.Reply> relay(StoreRelayCall call) {
-        return count("relay", mStore.relay(call));
+        return count(StoreCallPurpose.RELAY, "relay", mStore.relay(call));
     }
 
     @Override
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingKeys.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingKeys.java
@@ -75,6 +75,16 @@
         return ACCEPTED + customer + '/' + route;
     }
 
+    /** Returns the prefix of the counters of accepted jobs. */
+    static String acceptedCountersPrefix() {
+        return ACCEPTED;
+    }
+
+    /** Returns the prefix of the keys of the items and results of all jobs. */
+    static String contentsPrefix() {
+        return CONTENT;
+    }
+
     /** Returns the prefix of the keys of the quarantine of prompts. */
     public static String promptQuarantinePrefix() {
         return PROMPT_QUARANTINE;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -32,7 +32,7 @@
     private final Counter mPreemptions =
             counter("sesamepin_items_preempted", "Batch items that gave way.");
     private final Counter mStoreCalls =
-            counter("sesamepin_store_calls", "Calls to the store.", "kind", "outcome");
+            counter("sesamepin_store_calls", "Calls to the store.", "purpose", "kind", "outcome");
     private final Counter mItems = counter("sesamepin_items", "Batch items by end.", "outcome");
     private final Histogram mTimeToFirstByte =
             Histogram.builder()
@@ -81,8 +81,8 @@
     }
 
     /** Counts a call to the store. */
-    public void countStoreCall(String kind, String outcome) {
-        mStoreCalls.labelValues(kind, outcome).inc();
+    public void countStoreCall(String purpose, String kind, String outcome) {
+        mStoreCalls.labelValues(purpose, kind, outcome).inc();
     }
 
     /** Counts a batch item that was suspended for an online request. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -70,6 +70,7 @@
     private final LoadTable mLoads;
     private final TargetAccess mTargetAccess;
     private final CustomerRateLimiter mRateLimiter;
+    private final StoreCallLog mStoreCalls;
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
     private final ConfigVerifier mConfigVerifier;
@@ -101,7 +102,8 @@
         mVertx = vertx;
         mSettings = settings;
         mProtocol = protocol;
-        WatchableStore store = new MeteredStore(platformStore, mMetrics);
+        mStoreCalls = mCloser.add(new StoreCallLog(vertx, mMetrics));
+        WatchableStore store = new MeteredStore(platformStore, protocol, mStoreCalls);
         mStore = mCloser.add(store);
         long incarnation = System.currentTimeMillis();
         mPeers = new PeerTable(mTicker, settings.host(), settings.cores());
@@ -313,6 +315,7 @@
         HealthServer healthServer = new HealthServer(mVertx, mState, mMetrics);
         registerGauges();
         mLoopLag.start();
+        mStoreCalls.start();
         mConfigMirror.start();
         mConfigVerifier.start(mConfigMirror);
         mTargetMirror.start();
