Let few hosts verify the configuration of a large fleet, and read targets in batches

Cause: in a fleet of 67 hosts, confirmations of the configuration reach a host too slowly, so that each lists it about once in 1.5 s: 40 calls a second, a third of all. While targets register, each host watched again every 250 ms: 1,675 calls in 15 s. Change: the coordinators of the services list the configuration for the others, which exchange reports with them and list only when they hear nothing for 1.5 s.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ConfigVerifier.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ConfigVerifier.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.generated.ConfigConfirmation;
@@ -17,7 +18,8 @@
  * Bounds the time for which a host may act by a configuration without knowing that it is the newest
  * one. A watch can be silent without an error, on all hosts at once; so the configuration is listed
  * about once a second. The hosts share this work: what one of them has confirmed is in its reports
- * to the others. Confined to the event loop.
+ * to the others. In a large fleet, where reports reach all hosts slowly, the coordinators of the
+ * services list for the others: every host exchanges reports with them. Confined to the event loop.
  */
 final class ConfigVerifier implements StoreMirror.Listener, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ConfigVerifier.class);
@@ -26,8 +28,30 @@
     /** Age of the confirmation from which on one of all hosts lists at each check. */
     private static final long SHARED_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
-    /** Age of the confirmation from which on this host lists. */
-    private static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /** Who lists the configuration when its confirmation has become old. */
+    enum Duty {
+        /** Every host: first one of them at random, then each that has heard of no confirmation. */
+        SHARED(TimeUnit.MILLISECONDS.toNanos(1_000)),
+        /** This host for all others, which exchange reports with it several times per second. */
+        FOR_OTHERS(SHARED_AGE_NANOS),
+        /** Other hosts; this one only when their confirmations do not reach it. */
+        BY_OTHERS(TimeUnit.MILLISECONDS.toNanos(1_500));
+
+        private final long mMaxAgeNanos;
+
+        Duty(long maxAgeNanos) {
+            mMaxAgeNanos = maxAgeNanos;
+        }
+
+        boolean isDue(long ageNanos, int hosts) {
+            if (ageNanos >= mMaxAgeNanos) {
+                return true;
+            }
+            return this == SHARED
+                    && ageNanos >= SHARED_AGE_NANOS
+                    && ThreadLocalRandom.current().nextInt(Math.max(1, hosts)) == 0;
+        }
+    }
 
     /** Age of the confirmation from which on the configuration counts as unconfirmed. */
     private static final long UNCONFIRMED_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -36,6 +60,7 @@
     private final Ticker mTicker;
     private final ServingState mState;
     private final IntSupplier mHosts;
+    private final Supplier<Duty> mDuty;
     private @Nullable StoreMirror mMirror;
     private boolean mKnown;
     private boolean mUnconfirmed;
@@ -47,12 +72,19 @@
      * Creates a verifier.
      *
      * @param hosts number of the registered hosts
+     * @param duty who lists, read at each check
      */
-    ConfigVerifier(Vertx vertx, Ticker ticker, ServingState state, IntSupplier hosts) {
+    ConfigVerifier(
+            Vertx vertx,
+            Ticker ticker,
+            ServingState state,
+            IntSupplier hosts,
+            Supplier<Duty> duty) {
         mVertx = vertx;
         mTicker = ticker;
         mState = state;
         mHosts = hosts;
+        mDuty = duty;
     }
 
     /** Starts to verify what {@code mirror} has read. */
@@ -73,9 +105,7 @@
                     mState.config().version(),
                     ageMs());
         }
-        boolean isTurn = ThreadLocalRandom.current().nextInt(Math.max(1, mHosts.getAsInt())) == 0;
-        boolean due = age >= MAX_AGE_NANOS || (age >= SHARED_AGE_NANOS && isTurn);
-        if (due && !mPending) {
+        if (!mPending && mDuty.get().isDue(age, mHosts.getAsInt())) {
             verify(mirror);
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -111,6 +111,12 @@
         return mCoordinatorLookup.coordinatingPeers();
     }
 
+    /** Returns whether this host coordinates a service of the configuration. */
+    boolean isCoordinatorOfAny() {
+        return mState.config().services().stream()
+                .anyMatch(service -> mCoordinatorLookup.isCoordinatedHere(service.name()));
+    }
+
     /** Returns the coordinator of the services that this host coordinates. */
     PlacementCoordinator localCoordinator() {
         return mLocalCoordinator;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -36,21 +36,6 @@
 public final class ServingNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ServingNode.class);
 
-    /**
-     * Watch calls per second of all hosts together for jobs and hosts. The limit may be low, since
-     * a peer sends a notice of urgent changes.
-     */
-    private static final long CONTROL_WATCHES_PER_S = 8;
-
-    private static final long MAX_CONTROL_INTERVAL_MS = 3_000;
-
-    /**
-     * Watch calls per second of all hosts together for targets. The limit is higher, since no
-     * request may go to a target that has left.
-     */
-    private static final long TARGET_WATCHES_PER_S = 250;
-
-    private static final long MAX_TARGET_INTERVAL_MS = 250;
     private static final long BALANCER_LAG_MS = 2_600;
     private static final long STOP_MARGIN_MS = 900;
     private static final long STOP_CHECK_MS = 50;
@@ -70,6 +55,7 @@
     private final LoadTable mLoads;
     private final TargetAccess mTargetAccess;
     private final CustomerRateLimiter mRateLimiter;
+    private final WatchIntervals mWatchIntervals = new WatchIntervals(this::hostCount);
     private final StoreCallLog mStoreCalls;
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
@@ -118,7 +104,10 @@
         mPeerConfigReader = new PeerConfigReader(mState, mPeers, mPeerClient, configUpdater);
         TargetRegistry targetRegistry = new TargetRegistry(vertx, mTicker, protocol, mState);
         mStreamOrigins = newStreamOrigins(store);
-        mConfigVerifier = mCloser.add(new ConfigVerifier(vertx, mTicker, mState, this::hostCount));
+        mConfigVerifier =
+                mCloser.add(
+                        new ConfigVerifier(
+                                vertx, mTicker, mState, this::hostCount, this::verificationDuty));
         List<StoreMirror.Listener> configListeners =
                 List.of(configUpdater, operatorListener, mConfigVerifier, mStreamOrigins);
         mConfigMirror =
@@ -127,7 +116,7 @@
                 newMirror(
                         protocol.targetPrefix(),
                         new MirrorFanOut(List.of(targetRegistry, mStreamOrigins)),
-                        () -> watchIntervalMs(TARGET_WATCHES_PER_S, MAX_TARGET_INTERVAL_MS));
+                        mWatchIntervals::targetsMs);
         mLease = newLease(store, incarnation);
         JobIndex jobIndex = new JobIndex(mTicker);
         JobStorage jobStorage = new JobStorage(store, settings.maxStoreValueBytes());
@@ -168,6 +157,15 @@
                         mHosts::isRendezvousOwner));
     }
 
+    private ConfigVerifier.Duty verificationDuty() {
+        if (!mPeers.isLargeFleet()) {
+            return ConfigVerifier.Duty.SHARED;
+        }
+        return mPlacementClient.isCoordinatorOfAny()
+                ? ConfigVerifier.Duty.FOR_OTHERS
+                : ConfigVerifier.Duty.BY_OTHERS;
+    }
+
     private int hostCount() {
         return 1 + mPeers.registered().size();
     }
@@ -262,7 +260,7 @@
                                 mLease,
                                 jobIndex,
                                 mPromptGuard.storeListener())),
-                () -> watchIntervalMs(CONTROL_WATCHES_PER_S, MAX_CONTROL_INTERVAL_MS));
+                mWatchIntervals::controlMs);
     }
 
     private StoreMirror newMirror(
@@ -271,14 +269,6 @@
         return mCloser.add(new StoreMirror(mVertx, mStore, prefix, listener, rateLimiter));
     }
 
-    /**
-     * Returns the shortest interval between two watch calls of this host, milliseconds, when the
-     * whole fleet may make {@code perSecond} calls per second; at most {@code maxMs}.
-     */
-    private long watchIntervalMs(long perSecond, long maxMs) {
-        return Math.min(maxMs, TimeUnit.SECONDS.toMillis(hostCount()) / perSecond);
-    }
-
     /** Returns the components that requests use. */
     public ServingContext context() {
         return mContext;
