Let hosts take turns to claim jobs without an owner

Cause: 3 s after a job's owner was gone, every host claimed it: after a loss of all hosts at once, 275 of 341 claims were refused by the store (15 hosts), and their number grows with hosts times jobs.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/membership/Rendezvous.java
@@ -29,6 +29,21 @@
         return best;
     }
 
+    /**
+     * Returns how many of {@code hosts} come before {@code host} for {@code key}: 0 for the owner.
+     */
+    public static int rank(String key, String host, Collection<String> hosts) {
+        long ownScore = score(key, host);
+        int before = 0;
+        for (String other : hosts) {
+            int order = Long.compareUnsigned(score(key, other), ownScore);
+            if (order > 0 || (order == 0 && other.compareTo(host) < 0)) {
+                before++;
+            }
+        }
+        return before;
+    }
+
     /**
      * Returns a score of {@code host} for {@code key}. The host with the highest score owns the
      * key; each owns a part of the keys in proportion to its weight.
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/JobClaimer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.sesamepin.core.job.ClaimDelay;
 import org.sesamepin.core.job.JobItem;
 import org.sesamepin.core.job.JobProgress;
 import org.sesamepin.core.job.JobSummary;
@@ -18,14 +19,13 @@
 
 /**
  * Takes over open jobs that no process runs. A job whose owner is gone is claimed at first only by
- * the host that rendezvous hashing selects, and after a delay by any host. A job that the store
- * assigns to this process, though it does not run it, is claimed at once: the answer to the write
- * that made this process the owner was lost, or the job could not be read afterwards. Confined to
- * the event loop.
+ * the host that rendezvous hashing selects, and after delays by the others in turn. A job that the
+ * store assigns to this process, though it does not run it, is claimed at once: the answer to the
+ * write that made this process the owner was lost, or the job could not be read afterwards.
+ * Confined to the event loop.
  */
 final class JobClaimer {
     private static final Logger LOG = LoggerFactory.getLogger(JobClaimer.class);
-    private static final long ANY_HOST_CLAIM_DELAY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     /** Jobs that are read at once after their claims; each needs several times its size. */
     private static final int MAX_CONCURRENT_LOADS = 4;
@@ -111,8 +111,8 @@
     private boolean mayClaimOwnerless(String jobId) {
         long nowNanos = mContext.ticker().nanoTime();
         long sinceNanos = mOwnerlessSinceNanos.computeIfAbsent(jobId, id -> nowNanos);
-        boolean isPreferredHost = mLease.host().equals(Rendezvous.owner(jobId, mIndex.hosts()));
-        return isPreferredHost || nowNanos - sinceNanos > ANY_HOST_CLAIM_DELAY_NANOS;
+        int rank = Rendezvous.rank(jobId, mLease.host(), mIndex.hosts());
+        return rank == 0 || nowNanos - sinceNanos > ClaimDelay.nanos(rank);
     }
 
     private void claim(String jobId) {
