Evacuate failure domains by an order in the store

Cause: an operator could not take the targets of one failure domain out of use; the hosts sent requests there as long as the targets said that they were ready.

Each host reads the orders with the configuration, and targets of these domains are not ready for any choice, grant, resumption, item or probe. EvacuationOrders keeps the revision of the store at which the orders were read, so that of a listing, a watch and the report of a peer the latest counts. Reports carry the orders (HostReport 17 and 18), so that hosts that the store turns away learn them. A service that has targets only in evacuated domains is refused at once. A listing that confirms the configuration also shows an order that was deleted while the watches were silent.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,22 +15,33 @@
 
     private final Map<String, TargetInstance> mById = new HashMap<>();
     private final Map<String, List<TargetInstance>> mReadyByService = new HashMap<>();
+    private final List<TargetInstance> mOutsideEvacuation = new ArrayList<>();
+    private final Set<String> mServicesInEvacuation = new HashSet<>();
     private final Set<String> mLeaving;
+    private final Set<String> mEvacuatedDomains;
 
     /** Creates a directory of {@code targets}. */
     public TargetDirectory(Iterable<TargetInstance> targets) {
-        this(targets, Set.of());
+        this(targets, Set.of(), Set.of());
     }
 
     /**
      * Creates a directory of {@code targets}.
      *
      * @param leaving incarnations that accept no requests, whatever their registration says
+     * @param evacuatedDomains failure domains whose targets get no requests
      */
-    public TargetDirectory(Iterable<TargetInstance> targets, Set<String> leaving) {
+    public TargetDirectory(
+            Iterable<TargetInstance> targets, Set<String> leaving, Set<String> evacuatedDomains) {
         mLeaving = Set.copyOf(leaving);
+        mEvacuatedDomains = Set.copyOf(evacuatedDomains);
         for (TargetInstance target : targets) {
             mById.put(target.id(), target);
+            if (isEvacuated(target)) {
+                mServicesInEvacuation.add(target.service());
+                continue;
+            }
+            mOutsideEvacuation.add(target);
             if (acceptsRequests(target)) {
                 mReadyByService
                         .computeIfAbsent(target.service(), s -> new ArrayList<>())
@@ -39,7 +51,27 @@
     }
 
     private boolean acceptsRequests(TargetInstance target) {
-        return target.state().acceptsRequests() && !mLeaving.contains(target.incarnation());
+        return target.state().acceptsRequests()
+                && !mLeaving.contains(target.incarnation())
+                && !isEvacuated(target);
+    }
+
+    /** Returns whether the target gets no requests because its failure domain is evacuated. */
+    public boolean isEvacuated(TargetInstance target) {
+        return mEvacuatedDomains.contains(target.failureDomain());
+    }
+
+    /**
+     * Returns whether no target of {@code service} accepts requests and some of its targets are in
+     * evacuated failure domains.
+     */
+    public boolean isServiceEvacuated(String service) {
+        return mServicesInEvacuation.contains(service) && readyTargets(service).isEmpty();
+    }
+
+    /** Returns the registered targets outside the evacuated failure domains, in any state. */
+    public List<TargetInstance> targetsOutsideEvacuation() {
+        return mOutsideEvacuation;
     }
 
     /** Returns the targets of {@code service} that accept requests. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ConfigVerifier.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ConfigVerifier.java
@@ -116,6 +116,18 @@
         return mKnown ? TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - mConfirmedAt) : 0;
     }
 
+    /** Registers the metrics about the configuration in force. */
+    void registerMetrics(ServingMetrics metrics) {
+        metrics.gauge(
+                "sesamepin_config_version",
+                "Configuration in force.",
+                () -> mState.config().version());
+        metrics.gauge(
+                "sesamepin_config_age_seconds",
+                "Time since the configuration in force was known to be the newest.",
+                () -> ageMs() / 1_000.0);
+    }
+
     /** Adds to a report what this host has confirmed. */
     void addTo(HostReport report) {
         StoreMirror mirror = mMirror;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
@@ -21,6 +21,12 @@
     /** Returns whether {@code key} is the store key of the configuration. */
     boolean isConfig(String key);
 
+    /**
+     * Returns the failure domain whose evacuation the operator orders by writing {@code key}, which
+     * has the prefix of the configuration; null when the key is no such order.
+     */
+    @Nullable String evacuatedDomain(String key);
+
     /** Returns the prefix of the store keys at which the targets register. */
     String targetPrefix();
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/MirrorFanOut.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/MirrorFanOut.java
@@ -17,4 +17,9 @@
         listeners.forEach(
                 target -> StoreMirror.notify(target, l -> l.onChanges(changes, afterOutage)));
     }
+
+    @Override
+    public boolean isOutdatedBy(StoreListing listing) {
+        return listeners.stream().anyMatch(listener -> listener.isOutdatedBy(listing));
+    }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -37,6 +37,9 @@
     /** Requests of all hosts per slot at or above which a target gets no further online request. */
     private static final double MAX_ONLINE_OCCUPANCY = 2.0;
 
+    /** Time after which the caller of a request to an evacuated service should retry. */
+    private static final long EVACUATED_RETRY_AFTER_MS = 1_000;
+
     /** Slots of a target that items without a grant leave to those that the coordinator places. */
     private static final int COORDINATOR_SLOTS = 1;
 
@@ -116,8 +119,16 @@
         return mLocalCoordinator;
     }
 
-    /** Places an online request; the result has no target when the request is rejected. */
+    /**
+     * Places an online request; the result has no target when the request is rejected. A request
+     * whose service has targets only in evacuated failure domains is rejected at once: it would
+     * wait until its deadline, as nothing tells when the order will be taken back.
+     */
     Future<PlacementResult> place(PlacementRequest request) {
+        if (mState.targets().isServiceEvacuated(request.service())) {
+            return Future.succeededFuture(
+                    new PlacementResult(null, 0, EVACUATED_RETRY_AFTER_MS, "evacuation"));
+        }
         String coordinator = mCoordinatorLookup.coordinatorOf(request.service());
         if (coordinator.isEmpty()) {
             return Future.succeededFuture(placeLocally(request, "not-coordinated"));
@@ -154,10 +165,10 @@
         return target != null && mState.targets().isReady(target) ? target : null;
     }
 
-    /** Encodes a request; the coordinator may not know yet which targets leave. */
+    /** Encodes a request; the coordinator may not know yet which targets get no requests. */
     private PlaceAsk toMessage(PlacementRequest request) {
         Set<String> excluded = new HashSet<>(request.excluded());
-        excluded.addAll(mState.leavingTargets());
+        excluded.addAll(mState.withdrawnTargets());
         PlaceAsk message =
                 new PlaceAsk(
                         request.id(),
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -48,6 +48,7 @@
     private final PromptGuard mPromptGuard;
     private final ConfigVerifier mConfigVerifier;
     private final PeerConfigReader mPeerConfigReader;
+    private final EvacuationTracker mEvacuations;
     private final long mIncarnation;
     private final BooleanSupplier mStoreReachable;
     private final List<StoreMirror> mMirrors;
@@ -77,6 +78,7 @@
             PromptGuard promptGuard,
             ConfigVerifier configVerifier,
             PeerConfigReader peerConfigReader,
+            EvacuationTracker evacuations,
             long incarnation,
             BooleanSupplier storeReachable,
             List<StoreMirror> mirrors) {
@@ -91,6 +93,7 @@
         mPromptGuard = promptGuard;
         mConfigVerifier = configVerifier;
         mPeerConfigReader = peerConfigReader;
+        mEvacuations = evacuations;
         mIncarnation = incarnation;
         mStoreReachable = storeReachable;
         mMirrors = mirrors;
@@ -184,13 +187,14 @@
             report.setTargetLimits(limits);
         }
         mConfigVerifier.addTo(report);
+        mEvacuations.addTo(report);
         return report;
     }
 
     /** Returns the incarnations at which this host is to get no places for its requests. */
     private List<String> targetsToAvoid() {
         Set<String> avoided = new HashSet<>(mLoads.failingTargets());
-        avoided.addAll(mState.leavingTargets());
+        avoided.addAll(mState.withdrawnTargets());
         return List.copyOf(avoided);
     }
 
@@ -239,6 +243,7 @@
             LOG.info("step=peer peer={} outcome=regained", report.getHost());
         }
         mPeers.recordContact(report.getHost(), report.isStoreReachable());
+        mEvacuations.recordReport(report);
         mLoads.recordReport(report);
         mConfigVerifier.recordReport(report);
         mPeerConfigReader.recordReport(report);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -73,6 +73,7 @@
     private final WatchableStore mStore;
     private final PeerStoreRelay mStoreRelay;
     private final ConfigVerifier mConfigVerifier;
+    private final EvacuationTracker mEvacuations;
     private final PeerConfigReader mPeerConfigReader;
     private final StoreMirror mConfigMirror;
     private final StoreMirror mTargetMirror;
@@ -117,10 +118,8 @@
         TargetRegistry targetRegistry = new TargetRegistry(vertx, mTicker, protocol, mState);
         mStreamOrigins = newStreamOrigins(store);
         mConfigVerifier = mCloser.add(new ConfigVerifier(vertx, mTicker, mState, this::hostCount));
-        List<StoreMirror.Listener> configListeners =
-                List.of(configUpdater, operatorListener, mConfigVerifier, mStreamOrigins);
-        mConfigMirror =
-                newMirror(protocol.configPrefix(), new MirrorFanOut(configListeners), () -> 0);
+        mEvacuations = new EvacuationTracker(protocol, mState);
+        mConfigMirror = newConfigMirror(configUpdater, operatorListener);
         mTargetMirror =
                 newMirror(
                         protocol.targetPrefix(),
@@ -154,6 +153,12 @@
         mReportExchange = newReportExchange(store, incarnation);
     }
 
+    private StoreMirror newConfigMirror(ConfigUpdater updater, StoreMirror.Listener operators) {
+        List<StoreMirror.Listener> listeners =
+                List.of(mEvacuations, updater, operators, mConfigVerifier, mStreamOrigins);
+        return newMirror(mProtocol.configPrefix(), new MirrorFanOut(listeners), () -> 0);
+    }
+
     private StoredStreamOrigins newStreamOrigins(WatchableStore store) {
         return mCloser.add(
                 new StoredStreamOrigins(
@@ -212,6 +217,7 @@
                         mPromptGuard,
                         mConfigVerifier,
                         mPeerConfigReader,
+                        mEvacuations,
                         incarnation,
                         store::isDirectlyReachable,
                         List.of(mConfigMirror, mTargetMirror, mControlMirror));
@@ -392,18 +398,13 @@
     private void refreshRatesAndLoads() {
         mRateLimiter.refillAll();
         mLoads.retainRegistered(mState);
+        mEvacuations.warnOfUnknownDomains();
     }
 
     private void registerGauges() {
         mTargetAccess.registerMetrics(mMetrics);
-        mMetrics.gauge(
-                "sesamepin_config_version",
-                "Configuration in force.",
-                () -> mState.config().version());
-        mMetrics.gauge(
-                "sesamepin_config_age_seconds",
-                "Time since the configuration in force was known to be the newest.",
-                () -> mConfigVerifier.ageMs() / 1_000.0);
+        mConfigVerifier.registerMetrics(mMetrics);
+        mEvacuations.registerMetrics(mMetrics);
         mMetrics.gauge(
                 "sesamepin_targets",
                 "Registered targets.",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingState.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.target.EvacuationOrders;
 import org.sesamepin.core.target.TargetDirectory;
 import org.sesamepin.core.target.TargetInstance;
 
@@ -24,6 +26,7 @@
     private volatile boolean mTargetsKnown;
     private volatile @Nullable DrainWindow mDrainWindow;
     private volatile Set<String> mLeaving = Set.of();
+    private volatile EvacuationOrders mEvacuation = EvacuationOrders.NONE;
 
     public ServingConfig config() {
         return mConfig;
@@ -46,12 +49,32 @@
         return true;
     }
 
-    /** Replaces the registered targets; those that said that they leave get no requests. */
+    /**
+     * Replaces the registered targets; those that said that they leave and those in evacuated
+     * failure domains get no requests.
+     */
     public void setTargets(Collection<TargetInstance> targets) {
-        mTargets = new TargetDirectory(targets, mLeaving);
+        mTargets = new TargetDirectory(targets, mLeaving, mEvacuation.domains());
         mTargetsKnown = true;
     }
 
+    /** Returns the orders to evacuate failure domains that this host knows. */
+    public EvacuationOrders evacuation() {
+        return mEvacuation;
+    }
+
+    /** Replaces the orders to evacuate failure domains; they hold from now on. */
+    public void setEvacuation(EvacuationOrders evacuation) {
+        mEvacuation = evacuation;
+        Collection<TargetInstance> targets = mTargets.targetsById().values();
+        mTargets = new TargetDirectory(targets, mLeaving, evacuation.domains());
+    }
+
+    /** Returns whether the targets were read, be there any or not. */
+    boolean areTargetsKnown() {
+        return mTargetsKnown;
+    }
+
     /**
      * Records that a target said in a response that it leaves. It gets no further request from this
      * host, even if its registration still says that it is ready. This holds for the incarnation,
@@ -84,6 +107,23 @@
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Returns the incarnations of the registered targets that get no requests from this host
+     * although their registrations may say that they are ready: they said that they leave, or their
+     * failure domain is evacuated.
+     */
+    Set<String> withdrawnTargets() {
+        Set<String> withdrawn = new HashSet<>(leavingTargets());
+        if (!mEvacuation.domains().isEmpty()) {
+            TargetDirectory targets = mTargets;
+            targets.targetsById().values().stream()
+                    .filter(targets::isEvacuated)
+                    .map(TargetInstance::incarnation)
+                    .forEach(withdrawn::add);
+        }
+        return withdrawn;
+    }
+
     /** Starts draining: the process is about to stop, at the end of {@code window}. */
     public void drain(DrainWindow window) {
         mDrainWindow = window;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StoreMirror.java
@@ -32,6 +32,14 @@
          * @param afterOutage whether calls to the store failed before
          */
         void onChanges(StoreChanges changes, boolean afterOutage);
+
+        /**
+         * Returns whether a later listing shows that this listener holds an entry that was deleted.
+         * A deletion leaves no revision in a listing by which the mirror could see it.
+         */
+        default boolean isOutdatedBy(StoreListing listing) {
+            return false;
+        }
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(StoreMirror.class);
@@ -97,8 +105,8 @@
 
     /**
      * Lists beside the pending watch, which may have become silent without an error. When the
-     * listing has an entry that the watch did not report, it takes the place of the watch. Succeeds
-     * once everything that the store had at the call is known.
+     * listing has an entry, or lacks one, that the watch did not report, it takes the place of the
+     * watch. Succeeds once everything that the store had at the call is known.
      */
     public Future<Void> verify() {
         long generation = mGeneration;
@@ -115,7 +123,7 @@
 
     private void replaceSilentWatch(StoreListing listing) {
         long revision = newestRevision(listing);
-        if (revision <= mContentRevision) {
+        if (revision <= mContentRevision && !mListener.isOutdatedBy(listing)) {
             return;
         }
         LOG.warn(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAccess.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAccess.java
@@ -48,12 +48,16 @@
         return mTunnelServer.openTunnels() > 0;
     }
 
+    /**
+     * Returns the address of a target to which peers may connect through this host. Peers that do
+     * not know yet that its failure domain is evacuated get none.
+     */
     private @Nullable InetSocketAddress addressOf(String incarnation) {
         if (mState.isDraining()) {
             return null;
         }
         TargetInstance target = mState.targets().findIncarnation(incarnation);
-        return target == null ? null : target.address();
+        return target == null || mState.targets().isEvacuated(target) ? null : target.address();
     }
 
     /** Returns whether a target has ended that refuses the connections of this host. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetReachability.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetReachability.java
@@ -79,8 +79,9 @@
         return mIsolation.isSuspect(registered(), mTicker.nanoTime());
     }
 
+    /** Returns the number of targets that may be probed; those in evacuated domains may not. */
     private int registered() {
-        return mState.targets().targetsById().size();
+        return mState.targets().targetsOutsideEvacuation().size();
     }
 
     @Override
@@ -175,7 +176,7 @@
 
     private Future<?> askPeersAbout(String incarnation) {
         TargetInstance target = mState.targets().findIncarnation(incarnation);
-        return target == null
+        return target == null || mState.targets().isEvacuated(target)
                 ? Future.succeededFuture()
                 : mPeers.view(target, MAX_PEERS_TO_COMPARE)
                         .onSuccess(view -> record(incarnation, view));
@@ -202,7 +203,7 @@
     }
 
     private List<TargetInstance> shuffledTargets() {
-        List<TargetInstance> targets = new ArrayList<>(mState.targets().targetsById().values());
+        List<TargetInstance> targets = new ArrayList<>(mState.targets().targetsOutsideEvacuation());
         Collections.shuffle(targets);
         return targets;
     }
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -282,6 +282,11 @@
   13: optional list<TargetLimit> targetLimits
   // Not set by a host that has read no configuration, and by hosts of older versions.
   14: optional ConfigConfirmation configConfirmation
+  // Failure domains that the operator evacuates, all that were ordered at evacuationRevision; both
+  // not set by a host that has read no orders, and by hosts of older versions.
+  17: optional set<string> evacuatedDomains
+  // Revision of the store.
+  18: optional i64 evacuationRevision
 }
 
 // Asks a peer for the configuration in force there.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/PlainProtocol.java
@@ -20,6 +20,8 @@
  * {@link StandInTargets} does.
  */
 final class PlainProtocol implements FleetProtocol {
+    private static final String EVACUATION_PREFIX = "config/evacuate/";
+
     private final ServingConfig mConfig;
     private final String mSender;
     private final UnaryOperator<InetSocketAddress> mPath;
@@ -50,6 +52,11 @@
         return key.equals("config/c");
     }
 
+    @Override
+    public @Nullable String evacuatedDomain(String key) {
+        return key.startsWith(EVACUATION_PREFIX) ? key.substring(EVACUATION_PREFIX.length()) : null;
+    }
+
     @Override
     public String targetPrefix() {
         return "targets/";
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -27,6 +27,7 @@
     static final int SLOTS = 8;
     static final int EVENTS = 8;
     static final String VERSION = "v1";
+    static final String DOMAIN = "a";
     private static final long EVENT_INTERVAL_MS = 15;
     private static final long REPLACEMENT_MS = 400;
     private static final long LAPSE_MS = 900;
@@ -36,6 +37,7 @@
     private final Set<String> mBadParts;
     private final Map<String, HttpServer> mServers = new HashMap<>();
     private final Map<String, String> mVersions = new HashMap<>();
+    private final Map<String, String> mDomains = new HashMap<>();
     private final Set<String> mBrokenRequests = new HashSet<>();
     private final List<Long> mEndNanos = new ArrayList<>();
     private final List<Long> mBadArrivalNanos = new ArrayList<>();
@@ -63,8 +65,14 @@
 
     /** Starts a target with a version of its software and registers it. */
     void startOne(String version) {
+        startOne(version, DOMAIN);
+    }
+
+    /** Starts a target in a failure domain and registers it. */
+    void startOne(String version, String domain) {
         String id = "t" + ++mStarted;
         mVersions.put(id, version);
+        mDomains.put(id, domain);
         HttpServer server = mVertx.createHttpServer();
         server.requestHandler(request -> answer(id, request))
                 .listen(0, "127.0.0.1")
@@ -78,7 +86,14 @@
     private void register(String id, int port) {
         mStore.commit(
                 new StoreTransaction()
-                        .put("targets/" + id, id + " " + port + " " + mVersions.get(id)));
+                        .put(
+                                "targets/" + id,
+                                String.join(
+                                        " ",
+                                        id,
+                                        Integer.toString(port),
+                                        mVersions.get(id),
+                                        mDomains.get(id))));
     }
 
     private void answer(String id, HttpServerRequest request) {
@@ -149,7 +164,8 @@
         mVertx.setTimer(
                 LAPSE_MS, t -> mStore.commit(new StoreTransaction().delete("targets/" + id)));
         String version = mVersions.getOrDefault(id, VERSION);
-        mVertx.setTimer(REPLACEMENT_MS, t -> startOne(version));
+        String domain = mDomains.getOrDefault(id, DOMAIN);
+        mVertx.setTimer(REPLACEMENT_MS, t -> startOne(version, domain));
     }
 
     /** Stops the targets of a version for good and removes their registrations at once. */
@@ -188,6 +204,14 @@
         return mArrivalNanos.getOrDefault(id, List.of()).size();
     }
 
+    /** Returns the number of requests that have reached the targets of a failure domain. */
+    int arrivalsIn(String domain) {
+        return mArrivalNanos.keySet().stream()
+                .filter(id -> domain.equals(mDomains.get(id)))
+                .mapToInt(this::arrivals)
+                .sum();
+    }
+
     /** Sets the id of the request that ends each target; empty for none. */
     void setBadRequestId(String id) {
         mBadRequestId = id;
@@ -249,7 +273,7 @@
                 SERVICE,
                 fields[2],
                 new java.net.InetSocketAddress("127.0.0.1", Integer.parseInt(fields[1])),
-                "a",
+                fields[3],
                 SLOTS,
                 org.sesamepin.core.target.TargetState.READY,
                 0);
