--- a/sesamepin-core/src/main/java/org/sesamepin/core/bundle/BundleParser.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/bundle/BundleParser.java
@@ -27,6 +27,9 @@
     /** Parses {@code text}; problems are reported under the name {@code file}. */
     public static Bundle parse(String file, String text) throws ConfigException {
         IniReader reader = new IniReader(file, BundleProperties.SCHEMAS).read(text, MAX_BYTES);
+        if (!reader.isReadable()) {
+            reader.throwIfProblems();
+        }
         return new BundleParser(reader).build();
     }
 
--- a/sesamepin-core/src/main/java/org/sesamepin/core/config/IniReader.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/config/IniReader.java
@@ -5,14 +5,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.ini4j.Config;
 import org.ini4j.Ini;
 import org.ini4j.Profile;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Reads an INI file, checks it against section schemas and collects every problem with its section
@@ -20,12 +20,14 @@
  */
 public final class IniReader {
     private static final int MAX_SECTION_NAME_CHARS = 200;
-    private static final int MAX_SUGGESTION_EDIT_DISTANCE = 4;
+    private static final Pattern PARSE_ERROR_LINE = Pattern.compile("at line: (\\d+)");
 
     private final String mFile;
     private final Map<String, SectionSchema> mSchemas = new TreeMap<>();
     private final List<ConfigProblem> mProblems = new ArrayList<>();
     private final List<IniSection> mSections = new ArrayList<>();
+    private boolean mReadable;
+    private IniLineIndex mLines = new IniLineIndex("");
 
     /** Creates a reader that reports problems under the name {@code file}. */
     public IniReader(String file, Collection<SectionSchema> schemas) {
@@ -44,6 +46,7 @@
             addProblem("", "", "", "the file is larger than " + maxBytes + " bytes");
             return this;
         }
+        mLines = new IniLineIndex(text);
         Ini ini = new Ini();
         Config config = new Config();
         config.setEscape(false);
@@ -55,9 +58,12 @@
         try {
             ini.load(new StringReader(text));
         } catch (IOException | RuntimeException e) {
-            addProblem("", "", "", "not an INI file: " + e.getMessage());
+            String message = String.valueOf(e.getMessage());
+            String problem = "not an INI file: " + message;
+            mProblems.add(new ConfigProblem(mFile, parseErrorLine(message), "", "", "", problem));
             return this;
         }
+        mReadable = true;
         for (String name : ini.keySet()) {
             List<Profile.Section> occurrences = ini.getAll(name);
             if (occurrences.size() > 1) {
@@ -72,6 +78,11 @@
         return this;
     }
 
+    private static int parseErrorLine(String message) {
+        Matcher matcher = PARSE_ERROR_LINE.matcher(message);
+        return matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
+    }
+
     private void readSection(String fullName, Profile.Section section) {
         if (fullName.length() > MAX_SECTION_NAME_CHARS) {
             addProblem(fullName.substring(0, 40), "", "", "the name of the section is too long");
@@ -86,7 +97,7 @@
                     fullName,
                     "",
                     "",
-                    "unknown section" + suggestNearestName(type, mSchemas.keySet()));
+                    "unknown section" + NearestName.suggest(type, mSchemas.keySet()));
             return;
         }
         if (schema.named() == name.isEmpty()) {
@@ -119,11 +130,19 @@
                         fullName,
                         entry.getKey(),
                         entry.getValue(),
-                        "unknown key" + suggestNearestName(entry.getKey(), known));
+                        "unknown key" + NearestName.suggest(entry.getKey(), known));
             }
         }
     }
 
+    /**
+     * Returns whether the text was parsed. If not, its sections are unknown, so that missing values
+     * would be reported for nothing.
+     */
+    public boolean isReadable() {
+        return mReadable;
+    }
+
     /** Returns the sections of {@code type} in file order. */
     public List<IniSection> sections(String type) {
         return mSections.stream().filter(s -> s.schema().type().equals(type)).toList();
@@ -145,7 +164,8 @@
 
     /** Records a problem; {@link #throwIfProblems} reports all of them together. */
     public void addProblem(String section, String key, String value, String expected) {
-        mProblems.add(new ConfigProblem(mFile, section, key, value, expected));
+        int line = mLines.lineOf(section, key);
+        mProblems.add(new ConfigProblem(mFile, line, section, key, value, expected));
     }
 
     /** Throws an exception with all recorded problems, if there are any. */
@@ -154,31 +174,4 @@
             throw new ConfigException(mFile, mProblems);
         }
     }
-
-    private static String suggestNearestName(String name, Collection<String> known) {
-        @Nullable String nearest =
-                known.stream()
-                        .filter(k -> editDistance(name, k) <= MAX_SUGGESTION_EDIT_DISTANCE)
-                        .min(Comparator.comparingInt(k -> editDistance(name, k)))
-                        .orElse(null);
-        return nearest == null ? "" : "; the closest match is '" + nearest + "'";
-    }
-
-    private static int editDistance(String a, String b) {
-        int[] previous = new int[b.length() + 1];
-        for (int j = 0; j <= b.length(); j++) {
-            previous[j] = j;
-        }
-        for (int i = 1; i <= a.length(); i++) {
-            int[] current = new int[b.length() + 1];
-            current[0] = i;
-            for (int j = 1; j <= b.length(); j++) {
-                int substitution = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
-                int keepOrSubstitute = previous[j - 1] + substitution;
-                current[j] = Math.min(keepOrSubstitute, 1 + Math.min(previous[j], current[j - 1]));
-            }
-            previous = current;
-        }
-        return previous[b.length()];
-    }
 }
