Report findings in `bundle check`, and compare with the version in force

`bundle check` only said whether a bundle parses. Exit code 1 when there is an error, as before. Faults go to standard output, since they are the result of the command. The line with the numbers of customers, keys and targets is replaced by the numbers of findings.

--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/Arguments.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Arguments.java
@@ -70,7 +70,7 @@
     }
 
     /** Returns the positional arguments; fails unless there are exactly {@code count}. */
-    List<String> positionalArguments(int count) throws UsageException {
+    public List<String> positionalArguments(int count) throws UsageException {
         List<String> positional =
                 options().nonOptionArguments().stream().map(Object::toString).toList();
         if (positional.size() != count) {
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/BundleCommand.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/BundleCommand.java
@@ -10,15 +10,11 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Collectors;
 import joptsimple.OptionSpec;
-import org.sesamepin.core.bundle.Bundle;
 import org.sesamepin.core.bundle.BundleParser;
 import org.sesamepin.core.bundle.SignedBundle;
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
-import org.sesamepin.node.fleet.BundleHead;
-import org.sesamepin.node.fleet.HostRecord;
 import org.sesamepin.node.fleet.StoreKeys;
 import org.sesamepin.node.spi.PlatformStore;
 import org.sesamepin.node.spi.StoreRead;
@@ -26,8 +22,6 @@
 
 /** {@code sesamepin bundle}: creates, validates, signs, compares and rolls out bundles. */
 final class BundleCommand implements Command {
-    private static final long DEFAULT_ROLL_TIMEOUT_MS = 30_000;
-
     private static final String TEMPLATE =
             """
             # A bundle: customers, keys, rates, routes, models and targets of one version.
@@ -64,15 +58,17 @@
         List<String> rest = args.isEmpty() ? args : args.subList(1, args.size());
         return switch (action) {
             case "new" -> create(rest, out);
-            case "check" -> check(rest, out);
-            case "sign" -> sign(rest, out);
-            case "diff" -> diff(rest, out);
-            case "roll" -> roll(rest, out);
+            case "check" -> BundleCheckAction.run(rest, out);
+            case "sign" -> BundleSignAction.run(rest, out);
+            case "diff" -> BundleDiffAction.run(rest, out);
+            case "roll" -> BundleRollAction.run(rest, out);
             case "show" -> show(rest, out);
             case "history" -> history(rest, out);
             case "--help" -> {
                 out.printLine("Usage: sesamepin bundle new FILE");
-                out.printLine("       sesamepin bundle check FILE");
+                out.printLine(
+                        "       sesamepin bundle check FILE [--against FILE | --store ADDRESS]"
+                                + " [--json]");
                 out.printLine(
                         "       sesamepin bundle sign FILE --operator NAME --key FILE --out FILE"
                                 + " [--set-version N]");
@@ -97,25 +93,6 @@
         return Main.EXIT_OK;
     }
 
-    private static int check(List<String> args, Output out) throws Exception {
-        Arguments arguments = new Arguments("bundle check FILE");
-        if (!arguments.parse(args, out)) {
-            return Main.EXIT_OK;
-        }
-        String file = arguments.positionalArguments(1).get(0);
-        Bundle bundle = BundleParser.parse(file, read(file));
-        out.printLine(
-                String.format(
-                        "ok: version %d, %d customers, %d keys, %d models, %d targets, %d routes",
-                        bundle.version(),
-                        bundle.customers().size(),
-                        bundle.keys().all().size(),
-                        bundle.models().size(),
-                        bundle.targets().size(),
-                        bundle.routes().size()));
-        return Main.EXIT_OK;
-    }
-
     static String read(String file) throws SesamepinException {
         try {
             return Files.readString(Path.of(file), StandardCharsets.UTF_8);
@@ -124,141 +101,6 @@
         }
     }
 
-    private static int sign(List<String> args, Output out) throws Exception {
-        Arguments arguments =
-                new Arguments(
-                        "bundle sign FILE --operator NAME --key FILE --out FILE [--set-version N]");
-        OptionSpec<String> operator =
-                arguments
-                        .parser()
-                        .accepts("operator", "name of the operator who signs")
-                        .withRequiredArg()
-                        .required();
-        OptionSpec<String> key =
-                arguments
-                        .parser()
-                        .accepts("key", "file with the private key")
-                        .withRequiredArg()
-                        .required();
-        OptionSpec<String> signedFile =
-                arguments
-                        .parser()
-                        .accepts("out", "file for the signed bundle")
-                        .withRequiredArg()
-                        .required();
-        OptionSpec<Long> version =
-                arguments
-                        .parser()
-                        .accepts("set-version", "version to write into FILE before signing")
-                        .withRequiredArg()
-                        .ofType(Long.class);
-        if (!arguments.parse(args, out)) {
-            return Main.EXIT_OK;
-        }
-        String file = arguments.positionalArguments(1).get(0);
-        String text = read(file);
-        if (arguments.has(version)) {
-            text = BundleTextEditor.withVersion(text, arguments.get(version));
-            Files.writeString(Path.of(file), text, StandardCharsets.UTF_8);
-        }
-        Bundle bundle = BundleParser.parse(file, text);
-        SignedBundle signed =
-                SignedBundle.sign(text, arguments.get(operator), read(arguments.get(key)));
-        Files.writeString(
-                Path.of(arguments.get(signedFile)), signed.toJson(), StandardCharsets.UTF_8);
-        out.printLine("signed version " + bundle.version() + " into " + arguments.get(signedFile));
-        return Main.EXIT_OK;
-    }
-
-    private static int diff(List<String> args, Output out) throws Exception {
-        Arguments arguments = new Arguments("bundle diff FILE FILE");
-        if (!arguments.parse(args, out)) {
-            return Main.EXIT_OK;
-        }
-        List<String> files = arguments.positionalArguments(2);
-        List<String> oldSettings = settingsLines(files.get(0));
-        List<String> newSettings = settingsLines(files.get(1));
-        oldSettings.stream()
-                .filter(e -> !newSettings.contains(e))
-                .forEach(e -> out.printLine("- " + e));
-        newSettings.stream()
-                .filter(e -> !oldSettings.contains(e))
-                .forEach(e -> out.printLine("+ " + e));
-        return Main.EXIT_OK;
-    }
-
-    /** Returns the settings of a bundle, signed or not, each prefixed with its section. */
-    private static List<String> settingsLines(String file) throws SesamepinException {
-        String text = read(file);
-        String ini = text.startsWith("{") ? SignedBundle.fromJson(text).text() : text;
-        BundleParser.parse(file, ini);
-        List<String> settings = new ArrayList<>();
-        String currentSection = "";
-        for (String line : ini.split("\n", -1)) {
-            String trimmed = line.trim();
-            if (trimmed.startsWith("[")) {
-                currentSection = trimmed;
-                settings.add(currentSection);
-            } else if (!trimmed.isEmpty() && !trimmed.startsWith("#") && !trimmed.startsWith(";")) {
-                settings.add(currentSection + " " + trimmed.replaceAll("\\s*=\\s*", " = "));
-            }
-        }
-        return settings;
-    }
-
-    private static int roll(List<String> args, Output out) throws Exception {
-        Arguments arguments = new Arguments("bundle roll SIGNED --store ADDRESS [--wait]");
-        StoreOption store = new StoreOption(arguments);
-        OptionSpec<Void> wait =
-                arguments
-                        .parser()
-                        .accepts("wait", "waits until the version is active on all live hosts");
-        OptionSpec<Long> timeout =
-                arguments
-                        .parser()
-                        .accepts("timeout-ms", "timeout of --wait, milliseconds")
-                        .withRequiredArg()
-                        .ofType(Long.class)
-                        .defaultsTo(DEFAULT_ROLL_TIMEOUT_MS);
-        if (!arguments.parse(args, out)) {
-            return Main.EXIT_OK;
-        }
-        SignedBundle signed = SignedBundle.fromJson(read(arguments.positionalArguments(1).get(0)));
-        Vertx vertx = Vertx.vertx();
-        try (PlatformStore client = store.open(vertx, arguments)) {
-            BundleRoll roll = new BundleRoll(client);
-            BundleHead head = roll.roll(signed);
-            out.printLine("version " + head.version() + " accepted");
-            if (!arguments.has(wait)) {
-                return Main.EXIT_OK;
-            }
-            List<HostRecord> laggingHosts =
-                    roll.awaitActive(head.version(), arguments.get(timeout));
-            if (laggingHosts.isEmpty()) {
-                out.printLine("active on all live hosts");
-                return Main.EXIT_OK;
-            }
-            out.printLine("not active on: " + describeLaggingHosts(laggingHosts));
-            return Main.EXIT_FAILED;
-        } finally {
-            vertx.close();
-        }
-    }
-
-    static String describeLaggingHosts(List<HostRecord> laggingHosts) {
-        return laggingHosts.stream()
-                .map(
-                        host ->
-                                host.host()
-                                        + " (at "
-                                        + host.activeVersion()
-                                        + (host.rejectionReason().isEmpty()
-                                                ? ""
-                                                : ": " + host.rejectionReason())
-                                        + ")")
-                .collect(Collectors.joining(", "));
-    }
-
     private static int show(List<String> args, Output out) throws Exception {
         Arguments arguments = new Arguments("bundle show VERSION --store ADDRESS");
         StoreOption store = new StoreOption(arguments);
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/Output.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/Output.java
@@ -8,7 +8,8 @@
 public final class Output {
     private final PrintStream mOut;
 
-    Output(PrintStream out) {
+    /** Creates an output that prints to {@code out}. */
+    public Output(PrintStream out) {
         mOut = out;
     }
 
--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/StoreOption.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/StoreOption.java
@@ -30,6 +30,11 @@
                         .defaultsTo("etcd");
     }
 
+    /** Returns whether the user named a store. */
+    boolean isGiven(Arguments arguments) {
+        return arguments.has(mAddress);
+    }
+
     /**
      * Opens a client of the store, which the caller closes.
      *
