Hold a quarantine back while the store has an unreadable record of its parts

A host that identified the parts of an unreadable record wrote its entry as if the key were absent. The entry is now held back and written when the record is gone or readable. An unreadable record is left as it is, as others are, and is logged once a revision instead of at each listing. Claims of probes fail as before while the record is there.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -30,7 +30,9 @@
 
 /**
  * Keeps the quarantine of prompts in the store, so that it outlasts all hosts and reaches hosts
- * that start later. Writes are repeated until the store holds them. Confined to the event loop.
+ * that start later. Writes are repeated until the store holds them. A record that this host cannot
+ * read is left as it is, since another build may have written it; an entry of the same parts is
+ * written when it is gone or readable. Confined to the event loop.
  */
 final class PromptQuarantineStore implements StoreMirror.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(PromptQuarantineStore.class);
@@ -49,6 +51,13 @@
     private final Consumer<Suspect> mOnRemoved;
     private final Predicate<PromptQuarantine.Entry> mIsInForce;
     private final Map<String, Stored> mStored = new HashMap<>();
+
+    /** Revisions of the records that this host cannot read, by key. */
+    private final Map<String, Long> mUnreadable = new HashMap<>();
+
+    /** Entries that are to be written when the unreadable record of their key has changed. */
+    private final Map<String, PromptQuarantine.Entry> mHeldBack = new HashMap<>();
+
     private boolean mListed;
 
     /**
@@ -90,9 +99,13 @@
         mVertx.setTimer(delay, t -> put(entry));
     }
 
-    /** Writes an entry, unless the store holds one as new. */
+    /** Writes an entry, unless the store holds one as new, or a record that is unreadable. */
     void put(PromptQuarantine.Entry entry) {
         String key = key(entry.suspect());
+        if (mUnreadable.containsKey(key)) {
+            mHeldBack.merge(key, entry, PromptQuarantine.Entry::mergedWith);
+            return;
+        }
         Stored stored = mStored.get(key);
         String value = encode(stored == null ? entry : entry.mergedWith(stored.entry()));
         boolean isStored = stored != null && value.equals(encode(stored.entry()));
@@ -172,15 +185,19 @@
                 .encode();
     }
 
-    private static PromptQuarantine.@Nullable Entry decode(StoreEntry stored) {
+    /** Returns the entry of a record; null if it is unreadable, which is logged once a revision. */
+    private PromptQuarantine.@Nullable Entry decode(StoreEntry stored) {
         try {
             return StoredJson.decode(
                     stored.key(), stored.value(), PromptQuarantineStore::decodeEntry);
         } catch (SesamepinException e) {
-            LOG.error(
-                    "step=prompt-quarantine key={} outcome=unusable cause={}",
-                    stored.key(),
-                    e.toString());
+            Long known = mUnreadable.put(stored.key(), stored.modRevision());
+            if (known == null || known != stored.modRevision()) {
+                LOG.error(
+                        "step=prompt-quarantine key={} outcome=unusable cause={}",
+                        stored.key(),
+                        e.toString());
+            }
             return null;
         }
     }
@@ -218,11 +235,10 @@
                 read(entry);
             }
         }
-        for (String key : Set.copyOf(mStored.keySet())) {
-            if (!listed.contains(key)) {
-                drop(key);
-            }
-        }
+        Set<String> known = new HashSet<>(mStored.keySet());
+        known.addAll(mUnreadable.keySet());
+        known.removeAll(listed);
+        known.forEach(this::drop);
     }
 
     @Override
@@ -245,6 +261,7 @@
         if (entry != null) {
             mStored.put(stored.key(), new Stored(entry, stored.modRevision()));
             mOnEntry.accept(entry);
+            onReadable(stored.key());
         }
     }
 
@@ -253,5 +270,15 @@
         if (removed != null) {
             mOnRemoved.accept(removed.entry().suspect());
         }
+        onReadable(key);
+    }
+
+    /** Writes what an unreadable record of {@code key} held back, if anything. */
+    private void onReadable(String key) {
+        mUnreadable.remove(key);
+        PromptQuarantine.Entry heldBack = mHeldBack.remove(key);
+        if (heldBack != null) {
+            put(heldBack);
+        }
     }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/prompt/RecordedQuarantineTest.java
@@ -17,7 +17,6 @@
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -27,6 +26,8 @@
 import org.sesamepin.node.job.MemoryStore;
 import org.sesamepin.node.peer.generated.PromptQuarantineEntry;
 import org.sesamepin.node.serving.ServingKeys;
+import org.sesamepin.node.spi.StoreChange;
+import org.sesamepin.node.spi.StoreChanges;
 import org.sesamepin.node.spi.StoreEntry;
 import org.sesamepin.node.spi.StoreListing;
 import org.sesamepin.node.spi.StoreTransaction;
@@ -147,7 +148,6 @@
     }
 
     /** Guards against a line a second while the store holds an unreadable record of the parts. */
-    @Tag("known-red")
     @Test
     void unreadableRecordOfTheSamePartsIsLoggedOnce() throws Exception {
         mVertx.runOnContext(
@@ -160,6 +160,38 @@
         assertEquals(1, mLog.all().size(), mLog.all().toString());
     }
 
+    /** Guards against a quarantine that is lost since its key had an unreadable record. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void entryIsStoredWhenTheUnreadableRecordIsGone(boolean listed) throws Exception {
+        CompletableFuture<String> stored = new CompletableFuture<>();
+        mVertx.runOnContext(
+                v -> {
+                    list(entry(KEY, "{}"));
+                    mQuarantine.put(new PromptQuarantine.Entry(SUSPECT, SINCE_MS, UNTIL_MS));
+                    boolean heldBack = mStore.textOf(KEY).isEmpty();
+                    if (listed) {
+                        list();
+                    } else {
+                        StoreChange removed = new StoreChange(KEY, null, 6);
+                        mQuarantine.onChanges(new StoreChanges(6, List.of(removed), false), false);
+                    }
+                    stored.complete(heldBack + " " + mStore.textOf(KEY));
+                });
+        String text = stored.get(5, TimeUnit.SECONDS);
+        assertTrue(text.startsWith("true {") && text.contains("a1b2c3d4"), text);
+    }
+
+    /** Guards against a line for each listing of the same record. */
+    @Test
+    void unreadableRecordIsLoggedOnceARevision() {
+        list(entry(KEY, "{}"));
+        list(entry(KEY, "{}"));
+        assertEquals(1, mLog.all().size(), mLog.all().toString());
+        list(new StoreEntry(KEY, "[]".getBytes(StandardCharsets.UTF_8), 6));
+        assertEquals(2, mLog.all().size(), mLog.all().toString());
+    }
+
     /** Guards against items that an earlier build holds since probes of this one said nothing. */
     @Test
     void probesThatSaidNothingHoldNoItemsAtEarlierBuilds() throws Exception {
