Count each request in flight until a report names its grant

A report dropped the coordinator's grants that were older than 60 ms. A host reports 12 ms after the end of a request, so a request of less than some 50 ms ended before its grant could be dropped, and counted until the next periodic report, up to 500 ms later. Requests were queued and refused beside idle targets.

The coordinator now numbers its grants to each host, in PlaceAnswer and PlaceGrant. Reports carry a sequence and the numbers that they contain, so that the count is the newest report of each host plus the grants that it does not name. Reports without receipts, of older builds, are treated as before. A grant that is not used is reported at once. PlacementClient hands its choices without a coordinator to LocalPlacement.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
@@ -7,11 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Requests in flight at the targets of one service, by host, as the service's coordinator sees
- * them: the last report of each host, plus the grants that are too recent to be part of a report. A
- * wrong count is corrected by the host's next report. Not thread-safe.
+ * them: the newest report of each host, plus the grants that this report does not contain. Grants
+ * to a host are numbered from 1, and its reports name the numbers that they contain. Not
+ * thread-safe.
  */
 final class InFlightTable {
     /** Time after its last report for which a host counts as alive. */
@@ -20,9 +22,16 @@
     /** Hosts that must report a target as failing before requests of other hosts avoid it. */
     private static final int MIN_FAILING_HOSTS = 2;
 
-    /** Time within which a granted request appears in the reports of its host. */
+    /** Time within which a granted request appears in reports that do not name their grants. */
     private static final long GRANT_REPORT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
+    /**
+     * Time after which a report that does not contain a grant shows that the grant was lost. Grants
+     * are discarded by their host after 150 ms, or given up by their sender after 400 ms, and hosts
+     * report every 500 ms.
+     */
+    static final long LOST_GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     /**
      * Requests in flight at one target.
      *
@@ -37,40 +46,101 @@
         }
     }
 
-    private record Grant(String host, String target, boolean batch, long grantedAt) {}
+    private record Grant(long number, String target, boolean batch, long grantedAt) {
+        boolean isContainedIn(Report report) {
+            ReportStamp stamp = report.stamp();
+            long ageNanos = report.reportedAt() - grantedAt;
+            if (stamp == null) {
+                return ageNanos > GRANT_REPORT_DELAY_NANOS;
+            }
+            return stamp.receipt().contains(number) || ageNanos >= LOST_GRANT_NANOS;
+        }
+    }
 
     private record Report(
-            Map<String, Count> countsByTarget, Set<String> failingTargets, long reportedAt) {}
+            Map<String, Count> countsByTarget,
+            Set<String> failingTargets,
+            @Nullable ReportStamp stamp,
+            long reportedAt) {
+        boolean isNewerThan(@Nullable ReportStamp other) {
+            return stamp != null && other != null && other.isOlderThan(stamp);
+        }
+    }
 
     private final Map<String, Report> mReportsByHost = new HashMap<>();
-    private List<Grant> mGrants = new ArrayList<>();
-
-    /** Replaces the report of {@code host} and drops the grants that it must contain by now. */
-    void recordReport(String host, Map<String, Count> counts, Set<String> failing, long now) {
-        mReportsByHost.put(host, new Report(counts, failing, now));
-        mGrants.removeIf(
-                grant ->
-                        grant.host().equals(host)
-                                && now - grant.grantedAt() > GRANT_REPORT_DELAY_NANOS);
+    private final Map<String, List<Grant>> mGrantsByHost = new HashMap<>();
+    private final Map<String, Long> mLastNumbersByHost = new HashMap<>();
+
+    /**
+     * Replaces the report of {@code host} and drops the grants that the new one contains. A report
+     * that is older than the one before is ignored.
+     *
+     * @param stamp null when the host does not name the grants that its reports contain
+     * @return whether the report was used
+     */
+    boolean recordReport(
+            String host,
+            Map<String, Count> counts,
+            Set<String> failing,
+            @Nullable ReportStamp stamp,
+            long now) {
+        dropExpired(now);
+        Report last = mReportsByHost.get(host);
+        if (last != null && last.isNewerThan(stamp)) {
+            return false;
+        }
+        Report report = new Report(counts, failing, stamp, now);
+        mReportsByHost.put(host, report);
+        List<Grant> grants = mGrantsByHost.get(host);
+        if (grants != null) {
+            grants.removeIf(grant -> grant.isContainedIn(report));
+        }
+        return true;
+    }
+
+    /**
+     * Records a grant, which counts as in flight until a report of {@code host} contains it.
+     *
+     * @return the grant's number
+     */
+    long recordGrant(String host, String target, boolean batch, long now) {
+        long number = mLastNumbersByHost.merge(host, 1L, Long::sum);
+        mGrantsByHost
+                .computeIfAbsent(host, h -> new ArrayList<>())
+                .add(new Grant(number, target, batch, now));
+        return number;
     }
 
-    /** Records a grant, which counts as in flight until a report of {@code host} contains it. */
-    void recordGrant(String host, String target, boolean batch, long now) {
-        mGrants.add(new Grant(host, target, batch, now));
+    /** Drops the reports of hosts that no longer report, and the grants to them. */
+    private void dropExpired(long now) {
+        mReportsByHost.values().removeIf(report -> now - report.reportedAt() > REPORT_TTL_NANOS);
+        mGrantsByHost.forEach(
+                (host, grants) -> {
+                    if (!mReportsByHost.containsKey(host)) {
+                        grants.removeIf(grant -> now - grant.grantedAt() > REPORT_TTL_NANOS);
+                    }
+                });
+        mGrantsByHost.values().removeIf(List::isEmpty);
+    }
+
+    /** Returns the number of grants that no report contains yet. */
+    int unreportedGrants() {
+        return mGrantsByHost.values().stream().mapToInt(List::size).sum();
     }
 
     /** Returns the requests in flight of all hosts, by incarnation of the target. */
     Map<String, Count> totalsByTarget(long now) {
-        mReportsByHost.values().removeIf(report -> now - report.reportedAt() > REPORT_TTL_NANOS);
-        mGrants.removeIf(grant -> now - grant.grantedAt() > REPORT_TTL_NANOS);
+        dropExpired(now);
         Map<String, Count> totals = new HashMap<>();
         for (Report report : mReportsByHost.values()) {
             report.countsByTarget()
                     .forEach((target, count) -> totals.merge(target, count, Count::plus));
         }
-        for (Grant grant : mGrants) {
-            Count granted = grant.batch() ? new Count(0, 1) : new Count(1, 0);
-            totals.merge(grant.target(), granted, Count::plus);
+        for (List<Grant> grants : mGrantsByHost.values()) {
+            for (Grant grant : grants) {
+                Count granted = grant.batch() ? new Count(0, 1) : new Count(1, 0);
+                totals.merge(grant.target(), granted, Count::plus);
+            }
         }
         return totals;
     }
@@ -121,6 +191,8 @@
         Map<String, Count> counts = new HashMap<>(report.countsByTarget());
         Count count = counts.getOrDefault(target, Count.NONE);
         counts.put(target, new Count(count.online(), Math.max(0, count.batch() - 1)));
-        mReportsByHost.put(host, new Report(counts, report.failingTargets(), report.reportedAt()));
+        mReportsByHost.put(
+                host,
+                new Report(counts, report.failingTargets(), report.stamp(), report.reportedAt()));
     }
 }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -70,6 +70,8 @@
      * @param waitingItems batch items that wait at the host for a placement
      * @param firstDueAt reading of the monotonic clock at which the first of them is due,
      *     nanoseconds
+     * @param stamp place of the report among those of the host; null when the host does not name
+     *     the grants that its reports contain
      */
     public record HostStatus(
             String host,
@@ -78,7 +80,8 @@
             Set<String> failingTargets,
             Map<String, Double> eventIntervalsMs,
             int waitingItems,
-            long firstDueAt) {}
+            long firstDueAt,
+            @Nullable ReportStamp stamp) {}
 
     /**
      * A granted placement of one request on a target.
@@ -89,13 +92,15 @@
      * @param occupancy requests at the target divided by its slots, without this one
      * @param suspendingHost host that has to suspend one of its batch items at the target; empty
      *     when no item is preempted
+     * @param number position among this coordinator's grants to the host, from 1 without gaps
      */
     public record Grant(
             String requestId,
             String host,
             TargetInstance target,
             double occupancy,
-            String suspendingHost) {}
+            String suspendingHost,
+            long number) {}
 
     /**
      * Reply to a request for a placement. A request that is neither granted nor rejected is queued.
@@ -187,7 +192,10 @@
         mMeanServiceTimeNanos += SERVICE_TIME_GAIN * (serviceTimeNanos - mMeanServiceTimeNanos);
     }
 
-    /** Records the report of a host; it replaces the host's former report. */
+    /**
+     * Records the report of a host; it replaces the host's former report. A report that was made
+     * before the former one is ignored.
+     */
     public void recordReport(HostStatus status, long now) {
         Set<String> targets = new HashSet<>(status.onlineInFlight().keySet());
         targets.addAll(status.batchInFlight().keySet());
@@ -197,7 +205,12 @@
             int batch = status.batchInFlight().getOrDefault(target, 0);
             counts.put(target, new InFlightTable.Count(online, batch));
         }
-        mInFlight.recordReport(status.host(), counts, status.failingTargets(), now);
+        boolean isNewest =
+                mInFlight.recordReport(
+                        status.host(), counts, status.failingTargets(), status.stamp(), now);
+        if (!isNewest) {
+            return;
+        }
         mSpeeds.recordReport(status.host(), status.eventIntervalsMs());
         mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt(), now);
     }
@@ -319,10 +332,11 @@
             suspendingHost = mInFlight.hostWithMostBatchItems(target.incarnation());
             mInFlight.recordSuspension(suspendingHost, target.incarnation());
         }
-        mInFlight.recordGrant(request.host(), target.incarnation(), false, now);
+        long number = mInFlight.recordGrant(request.host(), target.incarnation(), false, now);
         mBuckets.recordStart(target.incarnation());
         double occupancy = (double) total / Math.max(1, target.slots());
-        return new Grant(request.requestId(), request.host(), target, occupancy, suspendingHost);
+        return new Grant(
+                request.requestId(), request.host(), target, occupancy, suspendingHost, number);
     }
 
     /** Places waiting requests and items: online requests first, then batch items by due time. */
@@ -418,9 +432,9 @@
         if (best == null) {
             return null;
         }
-        mInFlight.recordGrant(host, best.incarnation(), true, now);
+        long number = mInFlight.recordGrant(host, best.incarnation(), true, now);
         mBuckets.recordStart(best.incarnation());
-        return new Grant("", host, best, 0, "");
+        return new Grant("", host, best, 0, "", number);
     }
 
     /** Returns whether more batch items wait than the faster targets have slots. */
@@ -434,6 +448,11 @@
         return mWaitingItems.total() > slots;
     }
 
+    /** Returns the number of grants that no report of their host contains yet. */
+    public int unreportedGrants() {
+        return mInFlight.unreportedGrants();
+    }
+
     /** Returns the number of online requests in the queue. */
     public int queueLength() {
         return mQueue.size();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
@@ -240,7 +240,14 @@
         }
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        HOST, online, batch, Set.of(), eventIntervalsMs, mWaitingItems.size(), 0),
+                        HOST,
+                        online,
+                        batch,
+                        Set.of(),
+                        eventIntervalsMs,
+                        mWaitingItems.size(),
+                        0,
+                        null),
                 nanos(mNowMs));
         for (ServiceCoordinator.Grant grant :
                 mCoordinator.placeWaiting(instances(), nanos(mNowMs))) {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/OverloadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/OverloadTest.java
@@ -177,7 +177,8 @@
             online.put(mTargets.get(i).incarnation(), mRunning[i]);
         }
         mCoordinator.recordReport(
-                new ServiceCoordinator.HostStatus("h", online, Map.of(), Set.of(), Map.of(), 0, 0),
+                new ServiceCoordinator.HostStatus(
+                        "h", online, Map.of(), Set.of(), Map.of(), 0, 0, null),
                 nanos(nowMs));
         for (ServiceCoordinator.Grant grant : mCoordinator.placeWaiting(mTargets, nanos(nowMs))) {
             Caller caller = mWaiting.remove(grant.requestId());
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -151,14 +151,21 @@
             long now) {
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        host, onlineInFlight, batchInFlight, failingTargets, Map.of(), 0, 0),
+                        host, onlineInFlight, batchInFlight, failingTargets, Map.of(), 0, 0, null),
                 now);
     }
 
     private void reportWaitingItems(String host, int waitingItems, long firstDueAt) {
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        host, Map.of(), Map.of(), Set.of(), Map.of(), waitingItems, firstDueAt),
+                        host,
+                        Map.of(),
+                        Map.of(),
+                        Set.of(),
+                        Map.of(),
+                        waitingItems,
+                        firstDueAt,
+                        null),
                 0);
     }
 
@@ -302,7 +309,7 @@
     private void reportEventIntervals(Map<String, Double> eventIntervalsMs) {
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        "measuring", Map.of(), Map.of(), Set.of(), eventIntervalsMs, 0, 0),
+                        "measuring", Map.of(), Map.of(), Set.of(), eventIntervalsMs, 0, 0, null),
                 0);
     }
 
@@ -353,7 +360,14 @@
     private void reportAt(String host, int waitingItems, long firstDueAt, long now) {
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        host, Map.of(), Map.of(), Set.of(), Map.of(), waitingItems, firstDueAt),
+                        host,
+                        Map.of(),
+                        Map.of(),
+                        Set.of(),
+                        Map.of(),
+                        waitingItems,
+                        firstDueAt,
+                        null),
                 now);
     }
 
@@ -420,11 +434,35 @@
         report("online", Map.of("t1@1", SLOTS), Map.of());
         mCoordinator.recordReport(
                 new ServiceCoordinator.HostStatus(
-                        "cut-off", Map.of(), Map.of(), Set.of("t0@1"), Map.of(), 1, 1_500 * MS),
+                        "cut-off",
+                        Map.of(),
+                        Map.of(),
+                        Set.of("t0@1"),
+                        Map.of(),
+                        1,
+                        1_500 * MS,
+                        null),
                 0);
         reportWaitingItems("items", 1, 2_000 * MS);
         List<ServiceCoordinator.Grant> grants = mCoordinator.placeWaiting(targets, 0);
         assertEquals(
                 List.of("items"), grants.stream().map(ServiceCoordinator.Grant::host).toList());
     }
+
+    /** Guards against slots that short requests seem to hold after they have ended. */
+    @Test
+    void endedRequestFreesItsSlotWithTheNextReport() {
+        List<TargetInstance> targets = targets(1);
+        report("host", Map.of(), Map.of());
+        assertNotNull(requestPlacement("first", false, targets, 0).grant());
+        ReportStamp stamp = new ReportStamp(1, 1, new GrantReceipt(1, Set.of()));
+        mCoordinator.recordReport(
+                new ServiceCoordinator.HostStatus(
+                        "host", Map.of(), Map.of(), Set.of(), Map.of(), 0, 0, stamp),
+                42 * MS);
+        ServiceCoordinator.Grant next = requestPlacement("next", false, targets, 100 * MS).grant();
+        assertNotNull(next);
+        assertEquals(0, next.occupancy());
+        assertEquals(2, next.number());
+    }
 }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/TargetLimitLoadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/TargetLimitLoadTest.java
@@ -80,7 +80,7 @@
             }
             mCoordinator.recordReport(
                     new ServiceCoordinator.HostStatus(
-                            host, online, batch, Set.of(), Map.of(), waitingItems, 0),
+                            host, online, batch, Set.of(), Map.of(), waitingItems, 0, null),
                     ms * MS);
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -215,10 +215,13 @@
     }
 
     private void onPlacement(PlacementResult placement, int withdrawals) {
+        TargetInstance target = placement.target();
         if (mEnded || withdrawals != mAttempts.withdrawals()) {
+            if (target != null) {
+                mContext.placementClient().handledGrants().recordUnused();
+            }
             return;
         }
-        TargetInstance target = placement.target();
         if (target == null) {
             mRetryAfterMs = placement.retryAfterMs();
             apply(mPolicy.onNoTarget(), noTargetReason(placement));
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -34,12 +34,6 @@
     private static final long PLACEMENT_TIMEOUT_MS = 150;
     private static final long GRANT_WAIT_MS = 400;
 
-    /** Requests of all hosts per slot at or above which a target gets no further online request. */
-    private static final double MAX_ONLINE_OCCUPANCY = 2.0;
-
-    /** Slots of a target that items without a grant leave to those that the coordinator places. */
-    private static final int COORDINATOR_SLOTS = 1;
-
     private record WaitingRequest(
             PlacementRequest request,
             Promise<PlacementResult> promise,
@@ -51,14 +45,11 @@
     private final ServingState mState;
     private final PeerTable mPeers;
     private final PeerClient mPeerClient;
-    private final TargetSelector mTargetSelector;
-    private final ServingMetrics mMetrics;
     private final BatchWork mBatchWork;
     private final CoordinatorLookup mCoordinatorLookup;
-    private final TargetRateLimits mLimits;
-    private final TargetLimitShares mLimitShares;
-    private final ItemGrantTimeout mItemGrantTimeout = new ItemGrantTimeout();
+    private final HandledGrants mHandledGrants;
     private final PlacementCoordinator mLocalCoordinator;
+    private final LocalPlacement mLocalPlacement;
     private final Map<String, WaitingRequest> mWaitingRequests = new HashMap<>();
 
     /**
@@ -79,12 +70,9 @@
         mState = state;
         mPeers = peers;
         mPeerClient = peerClient;
-        mTargetSelector = targetSelector;
-        mMetrics = metrics;
         mBatchWork = batchWork;
         mCoordinatorLookup = new CoordinatorLookup(ticker, state, peers);
-        mLimits = limits;
-        mLimitShares = new TargetLimitShares(ticker, peers, limits);
+        mHandledGrants = new HandledGrants(ticker);
         mLocalCoordinator =
                 new PlacementCoordinator(
                         vertx,
@@ -96,6 +84,16 @@
                         batchWork,
                         mCoordinatorLookup,
                         limits);
+        mLocalPlacement =
+                new LocalPlacement(
+                        ticker,
+                        state,
+                        peers,
+                        targetSelector,
+                        metrics,
+                        batchWork,
+                        mCoordinatorLookup,
+                        limits);
     }
 
     /**
@@ -116,11 +114,16 @@
         return mLocalCoordinator;
     }
 
+    /** Returns the grants that this host has handled. */
+    HandledGrants handledGrants() {
+        return mHandledGrants;
+    }
+
     /** Places an online request; the result has no target when the request is rejected. */
     Future<PlacementResult> place(PlacementRequest request) {
         String coordinator = mCoordinatorLookup.coordinatorOf(request.service());
         if (coordinator.isEmpty()) {
-            return Future.succeededFuture(placeLocally(request, "not-coordinated"));
+            return Future.succeededFuture(mLocalPlacement.place(request, "not-coordinated"));
         }
         if (coordinator.equals(mPeers.self())) {
             return handleReply(
@@ -128,7 +131,7 @@
         }
         PeerTable.Peer peer = mPeers.find(coordinator);
         if (peer == null) {
-            return Future.succeededFuture(placeLocally(request, "coordinator-gone"));
+            return Future.succeededFuture(mLocalPlacement.place(request, "coordinator-gone"));
         }
         long sentAt = mTicker.nanoTime();
         return mPeerClient
@@ -144,7 +147,8 @@
                                         request, reply.result().getPlaceAnswer(), peer.name());
                             }
                             mCoordinatorLookup.recordNoAnswer(peer, sentAt, reply.cause());
-                            return Future.succeededFuture(placeLocally(request, "no-coordinator"));
+                            return Future.succeededFuture(
+                                    mLocalPlacement.place(request, "no-coordinator"));
                         });
     }
 
@@ -176,6 +180,9 @@
             PlacementRequest request, PlaceAnswer reply, String decider) {
         return switch (reply.getOutcome()) {
             case GRANTED -> {
+                if (!mHandledGrants.record(request.id(), request.service(), reply)) {
+                    yield place(request);
+                }
                 TargetInstance target = readyTarget(reply.getTargetId());
                 yield Future.succeededFuture(
                         accept(request, target, reply.getOccupancy(), decider));
@@ -185,7 +192,7 @@
                             new PlacementResult(null, 0, reply.getRetryAfterMs(), decider));
             case QUEUED -> awaitGrant(request);
             case NOT_COORDINATOR ->
-                    Future.succeededFuture(placeLocally(request, "not-coordinator"));
+                    Future.succeededFuture(mLocalPlacement.place(request, "not-coordinator"));
         };
     }
 
@@ -196,11 +203,13 @@
             double occupancy,
             String decider) {
         if (target == null) {
-            return placeLocally(request, "unknown-target");
+            mHandledGrants.recordUnused();
+            return mLocalPlacement.place(request, "unknown-target");
         }
         // A coordinator of an older release does not know about versions.
         if (!request.mayRunAt(target)) {
-            return placeLocally(request, "other-version");
+            mHandledGrants.recordUnused();
+            return mLocalPlacement.place(request, "other-version");
         }
         return new PlacementResult(target, occupancy, 0, decider);
     }
@@ -217,16 +226,14 @@
     /**
      * Asks at once for another target for a request that waits.
      *
-     * @param targetId id of the target that does not accept requests any more
+     * @param excluded incarnations to exclude in addition to those excluded before
      */
-    private void askForAnother(String requestId, String targetId) {
+    private void askForAnother(String requestId, Set<String> excluded) {
         WaitingRequest waiting = mWaitingRequests.get(requestId);
-        TargetInstance target = mState.targets().get(targetId);
-        if (waiting == null || target == null) {
-            return;
+        if (waiting != null) {
+            mVertx.cancelTimer(waiting.timerId());
+            retryPlacement(requestId, excluded);
         }
-        mVertx.cancelTimer(waiting.timerId());
-        retryPlacement(requestId, Set.of(target.incarnation()));
     }
 
     /**
@@ -255,29 +262,43 @@
     }
 
     /**
-     * Handles a coordinator's grant for a waiting request or for a batch item. After a grant for a
-     * target that is no longer ready, a request asks again; an item waits for the next grant. A
-     * grant without a target rejects the request.
+     * Handles a coordinator's grant for a waiting request or for a batch item. After a grant that
+     * was given up, or for a target that is no longer ready, a request asks again; an item waits
+     * for the next grant. A grant without a target rejects the request.
      */
     void onGrant(PlaceGrant grant) {
         if (grant.getTargetId().isEmpty()) {
             complete(grant, null);
             return;
         }
+        if (!mHandledGrants.record(grant)) {
+            askForAnother(grant.getRequestId(), Set.of());
+            return;
+        }
         TargetInstance target = readyTarget(grant.getTargetId());
         if (target == null) {
-            askForAnother(grant.getRequestId(), grant.getTargetId());
+            mHandledGrants.recordUnused();
+            TargetInstance known = mState.targets().get(grant.getTargetId());
+            if (known != null) {
+                askForAnother(grant.getRequestId(), Set.of(known.incarnation()));
+            }
             return;
         }
         if (grant.getRequestId().isEmpty()) {
-            if (mBatchWork.runOne(grant.getServiceName(), target)) {
-                mItemGrantTimeout.recordGrant(grant.getServiceName());
-            }
+            runItem(grant.getServiceName(), target);
             return;
         }
         complete(grant, target);
     }
 
+    private void runItem(String service, TargetInstance target) {
+        if (mBatchWork.runOne(service, target)) {
+            mLocalPlacement.recordItemGrant(service);
+        } else {
+            mHandledGrants.recordUnused();
+        }
+    }
+
     /**
      * Ends the wait of a request.
      *
@@ -286,6 +307,9 @@
     private void complete(PlaceGrant grant, @Nullable TargetInstance target) {
         WaitingRequest waiting = mWaitingRequests.remove(grant.getRequestId());
         if (waiting == null) {
+            if (target != null) {
+                mHandledGrants.recordUnused();
+            }
             return;
         }
         mVertx.cancelTimer(waiting.timerId());
@@ -317,84 +341,22 @@
      * @param reservedSlots slots that must stay free in addition to the item's slot
      */
     public @Nullable TargetInstance uncoordinatedTarget(String service, int reservedSlots) {
-        if (!mCoordinatorLookup.coordinatorOf(service).isEmpty()) {
-            return targetWithoutGrant(service, reservedSlots + COORDINATOR_SLOTS);
-        }
-        List<TargetInstance> targets =
-                mLimitShares.available(mState.targets().readyTargets(service));
-        TargetInstance target = selectForBatch(targets, reservedSlots);
-        if (target != null) {
-            mLimitShares.recordStart(target);
-        }
-        return target;
+        return mLocalPlacement.targetForItem(service, reservedSlots);
     }
 
-    /**
-     * Returns a target for an item whose coordinator has granted nothing for too long, or null. It
-     * is never one with a limit, which the coordinator gives out as a whole, and there is none in a
-     * fleet so large that this host does not know the loads of the targets.
-     */
-    private @Nullable TargetInstance targetWithoutGrant(String service, int reservedSlots) {
-        long now = mTicker.nanoTime();
-        if (mPeers.isLargeFleet() || !mItemGrantTimeout.isOver(service, now)) {
-            return null;
-        }
-        List<TargetInstance> targets =
-                mState.targets().readyTargets(service).stream()
-                        .filter(target -> !mLimits.isLimited(target.incarnation()))
-                        .toList();
-        TargetInstance target = selectForBatch(targets, reservedSlots);
-        if (target != null) {
-            mItemGrantTimeout.recordPlacement(service, now);
-            LOG.warn(
-                    "step=place service={} coordinator={} target={} outcome=item-without-grant",
-                    service,
-                    mCoordinatorLookup.coordinatorOf(service),
-                    target.incarnation());
-        }
-        return target;
-    }
-
-    private @Nullable TargetInstance selectForBatch(
-            List<TargetInstance> targets, int reservedSlots) {
-        TargetSelector.Choice choice =
-                mTargetSelector.selectForBatch(
-                        targets, Set.of(), reservedSlots, mTicker.nanoTime());
-        return choice == null ? null : choice.target();
-    }
-
-    private PlacementResult placeLocally(PlacementRequest request, String reason) {
-        List<TargetInstance> targets =
-                mLimitShares.available(
-                        mState.targets().readyTargets(request.service(), request.version()));
-        long now = mTicker.nanoTime();
-        TargetSelector.Choice choice =
-                mTargetSelector.selectForOnline(targets, request.excluded(), now);
-        if (choice == null) {
-            return new PlacementResult(null, 0, 0, reason);
-        }
-        if (choice.occupancy() >= 1) {
-            TargetInstance preemptedTarget = preemptItem(targets, request);
-            if (preemptedTarget != null) {
-                mLimitShares.recordStart(preemptedTarget);
-                return new PlacementResult(preemptedTarget, 1, 0, reason);
-            }
-        }
-        if (choice.occupancy() >= MAX_ONLINE_OCCUPANCY) {
-            return new PlacementResult(null, choice.occupancy(), 0, reason);
-        }
-        mLimitShares.recordStart(choice.target());
-        return new PlacementResult(choice.target(), choice.occupancy(), 0, reason);
-    }
-
-    private @Nullable TargetInstance preemptItem(
-            List<TargetInstance> targets, PlacementRequest request) {
-        TargetInstance target = mTargetSelector.selectForPreemption(targets, mTicker.nanoTime());
-        boolean alreadyTried = target != null && request.excluded().contains(target.incarnation());
-        if (target == null || alreadyTried || !mBatchWork.suspendOne(target)) {
-            return null;
-        }
-        mMetrics.countPreemption();
-        return target;
+    /** Registers the metrics of the placements. */
+    void registerMetrics(ServingMetrics metrics) {
+        metrics.gauge(
+                "sesamepin_requests_waiting",
+                "Requests of all hosts that wait here for a slot.",
+                mLocalCoordinator::queuedRequests);
+        metrics.gauge(
+                "sesamepin_grants_unreported",
+                "Grants of this coordinator that no report of their host contains yet.",
+                mLocalCoordinator::unreportedGrants);
+        metrics.counter(
+                "sesamepin_grants_given_up",
+                "Grants to this host that did not arrive in time.",
+                mHandledGrants::givenUp);
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
@@ -6,9 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.serving.ServiceSpec;
+import org.sesamepin.core.target.GrantReceipt;
+import org.sesamepin.core.target.ReportStamp;
 import org.sesamepin.core.target.ServiceCoordinator;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetRateLimits;
@@ -44,6 +48,10 @@
     private final CoordinatorLookup mCoordinatorLookup;
     private final TargetRateLimits mLimits;
     private final Map<String, ServiceCoordinator> mCoordinators = new HashMap<>();
+
+    /** Tells the grants of this process from those of a former one of the same host. */
+    private final long mEpoch = ThreadLocalRandom.current().nextLong();
+
     private Consumer<PlaceGrant> mLocalGrantHandler = grant -> {};
 
     PlacementCoordinator(
@@ -83,7 +91,9 @@
                 requestPlacement(decode(message), message.getServiceName());
         ServiceCoordinator.Grant grant = reply.grant();
         if (grant != null) {
-            return new PlaceAnswer(PlaceOutcome.GRANTED, grant.target().id(), grant.occupancy(), 0);
+            return new PlaceAnswer(PlaceOutcome.GRANTED, grant.target().id(), grant.occupancy(), 0)
+                    .setEpoch(mEpoch)
+                    .setNumber(grant.number());
         }
         PlaceOutcome outcome = reply.rejected() ? PlaceOutcome.REFUSED : PlaceOutcome.QUEUED;
         long retryMs = TimeUnit.NANOSECONDS.toMillis(reply.retryAfterNanos());
@@ -103,6 +113,11 @@
                 message.isSetVersion() ? message.getVersion() : null);
     }
 
+    /** Returns the number of grants that no report of their host contains yet. */
+    int unreportedGrants() {
+        return mCoordinators.values().stream().mapToInt(ServiceCoordinator::unreportedGrants).sum();
+    }
+
     /** Returns the number of requests that wait for a slot. */
     int queuedRequests() {
         return mCoordinators.values().stream().mapToInt(ServiceCoordinator::queueLength).sum();
@@ -189,10 +204,25 @@
                                 failing,
                                 report.getEventMs(),
                                 waitingItems,
-                                dueAt),
+                                dueAt,
+                                stampOf(service, report)),
                         now);
     }
 
+    /** Returns the stamp of a report; null when its host is of a version without stamps. */
+    private @Nullable ReportStamp stampOf(String service, HostReport report) {
+        if (!report.isSetSequence() || !report.isSetGrantReceipts()) {
+            return null;
+        }
+        GrantReceipt receipt = GrantReceipt.NONE;
+        for (org.sesamepin.node.peer.generated.GrantReceipt entry : report.getGrantReceipts()) {
+            if (entry.getEpoch() == mEpoch && entry.getServiceName().equals(service)) {
+                receipt = new GrantReceipt(entry.getUpTo(), entry.getBeyond());
+            }
+        }
+        return new ReportStamp(report.getIncarnation(), report.getSequence(), receipt);
+    }
+
     /** Records how long an online request of {@code service} took, nanoseconds. */
     void recordServiceTime(String service, long nanos) {
         coordinatorFor(service).recordServiceTime(nanos);
@@ -215,7 +245,12 @@
             notifyHost(
                     grant.host(),
                     new PlaceGrant(
-                            grant.requestId(), service, grant.target().id(), grant.occupancy()));
+                                    grant.requestId(),
+                                    service,
+                                    grant.target().id(),
+                                    grant.occupancy())
+                            .setEpoch(mEpoch)
+                            .setNumber(grant.number()));
         }
         for (ServiceCoordinator.Request request :
                 coordinatorFor(service).rejectWithoutTarget(targets)) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -53,6 +53,7 @@
     private final List<StoreMirror> mMirrors;
     private final Set<String> mUnresponsivePeers = new HashSet<>();
     private List<InFlight> mLastInFlight = List.of();
+    private long mSequence;
     private long mLastSentAt;
     private long mLastConfigVersion;
     private long mTimer;
@@ -179,6 +180,8 @@
                         mBatchWork.firstDueInMs(),
                         targetsToAvoid(),
                         eventIntervalsMs);
+        report.setSequence(++mSequence);
+        report.setGrantReceipts(mPlacementClient.handledGrants().receipts());
         List<TargetLimit> limits = mLoads.limitsForReport();
         if (!limits.isEmpty()) {
             report.setTargetLimits(limits);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -322,6 +322,7 @@
         mReportExchange.start();
         mLoads.setEndListener(mReportExchange::reportSoon);
         mJobRunner.start(mReportExchange::reportSoon);
+        mPlacementClient.handledGrants().setUnusedListener(mReportExchange::reportSoon);
         mPlacementClient.start();
         mVertx.setPeriodic(RATE_REFRESH_MS, t -> refreshRatesAndLoads());
         LOG.info(
@@ -396,6 +397,7 @@
 
     private void registerGauges() {
         mTargetAccess.registerMetrics(mMetrics);
+        mPlacementClient.registerMetrics(mMetrics);
         mMetrics.gauge(
                 "sesamepin_config_version",
                 "Configuration in force.",
@@ -413,10 +415,6 @@
                 "sesamepin_store_reachable",
                 "1 when the store answered the last call of this host itself.",
                 () -> mStore.isDirectlyReachable() ? 1 : 0);
-        mMetrics.gauge(
-                "sesamepin_requests_waiting",
-                "Requests of all hosts that wait here for a slot.",
-                () -> mPlacementClient.localCoordinator().queuedRequests());
         mMetrics.gauge(
                 "sesamepin_prompts_quarantined",
                 "Quarantines of prompts under which targets ended.",
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -256,6 +256,17 @@
   2: i64 ageMs
 }
 
+// Grants of a coordinator that a host has handled or given up. The host's report counts the
+// requests of these grants, as far as they run.
+struct GrantReceipt {
+  1: string serviceName
+  // Random number that the coordinator's process chose at its start.
+  2: i64 epoch
+  // All numbers up to this one, and single ones beyond.
+  3: i64 upTo
+  4: set<i64> beyond
+}
+
 // What a host tells each peer several times a second, and is told in the reply.
 struct HostReport {
   1: string host
@@ -282,6 +293,10 @@
   13: optional list<TargetLimit> targetLimits
   // Not set by a host that has read no configuration, and by hosts of older versions.
   14: optional ConfigConfirmation configConfirmation
+  // Rises with each report of the host's incarnation; not set by hosts of older versions.
+  15: optional i64 sequence
+  // Grants of the last seconds, by service and coordinator; not set by hosts of older versions.
+  16: optional list<GrantReceipt> grantReceipts
 }
 
 // Asks a peer for the configuration in force there.
@@ -323,6 +338,10 @@
   2: string targetId
   3: double occupancy
   4: i64 retryAfterMs
+  // Number of the grant among those of the coordinator's process to the host for the service, from
+  // 1 without gaps. Not set without a grant, and by hosts of older versions.
+  5: optional i64 epoch
+  6: optional i64 number
 }
 
 // Tells a host the place of a request that waited, or of a batch item.
@@ -333,6 +352,9 @@
   // Empty when the request is refused.
   3: string targetId
   4: double occupancy
+  // Number of the grant, as in PlaceAnswer.
+  5: optional i64 epoch
+  6: optional i64 number
 }
 
 // Tells a host to suspend one of its batch items at a target.
