--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/InFlightTableTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/InFlightTableTest.java
@@ -31,10 +31,12 @@
                 nanos(nowMs));
     }
 
+    private InFlightTable.Count countAt(long nowMs) {
+        return mTable.totalsByTarget(nanos(nowMs)).getOrDefault(TARGET, InFlightTable.Count.NONE);
+    }
+
     private int onlineAt(long nowMs) {
-        return mTable.totalsByTarget(nanos(nowMs))
-                .getOrDefault(TARGET, InFlightTable.Count.NONE)
-                .online();
+        return countAt(nowMs).online();
     }
 
     private long grantAt(long nowMs) {
@@ -93,6 +95,6 @@
         mTable.recordReport("host", items, Set.of(), stamp, 0);
         mTable.recordSuspension("host", TARGET);
         assertFalse(report(4, 1, 4, 0, 10));
-        assertEquals(1, mTable.totalsByTarget(nanos(20)).get(TARGET).batch());
+        assertEquals(new InFlightTable.Count(0, 1), countAt(20));
     }
 }
