Send cold targets no more requests than they tolerate

Cause: targets that have just started, or got no requests for a while, crash under the load of a warm target. coldLeftMs of their entries was decoded and used for nothing; coldStartS and coldPerS of a service were not read.

Change: ColdTargets holds until when a target counts as cold: by its entry, after its entry was away, after an evacuation was taken back, and as peers report of the last two (HostReport 19). TargetRateLimits gives the lower of the limits, so that the coordinator's buckets and the shares of hosts without one hold them. Warm targets with a free slot come first. Services without these fields are served as before.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -143,6 +143,12 @@
      */
     private static final double BATCH_ITEM_WEIGHT = 0.04;
 
+    /**
+     * Cost of a cold target; exceeds the cost of a warm target with a free slot, so that cold ones
+     * are used only beyond these.
+     */
+    private static final double COLD_TARGET_COST = 500;
+
     /** Cost of preempting a batch item; exceeds the cost of any target with a free slot. */
     private static final double PREEMPTION_COST = 1_000;
 
@@ -288,6 +294,9 @@
             }
             double load = (count.online() + count.batch() * BATCH_ITEM_WEIGHT) / target.slots();
             double cost = slowdowns.getOrDefault(target.incarnation(), 1.0) * (1 + load);
+            if (mLimits.isCold(target.incarnation())) {
+                cost += COLD_TARGET_COST;
+            }
             boolean isFull = count.online() + count.batch() >= target.slots();
             if (isFull) {
                 cost += count.batch() > 0 ? PREEMPTION_COST : QUEUEING_COST;
@@ -406,7 +415,9 @@
                                     now);
             double slowdown = slowdowns.getOrDefault(target.incarnation(), 1.0);
             double cost = slowdown * (1 + (double) total / Math.max(1, target.slots()));
-            if (mLimits.isLimited(target.incarnation())) {
+            if (mLimits.isCold(target.incarnation())) {
+                cost += COLD_TARGET_COST;
+            } else if (mLimits.isLimited(target.incarnation())) {
                 cost *= LIMITED_TARGET_ITEM_COST;
             }
             boolean usable = hasRoom && usableTargets.include(target, anySpeed ? 1 : slowdown);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetInstance.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetInstance.java
@@ -16,7 +16,8 @@
  * @param failureDomain failure domain in which it runs
  * @param slots requests that it runs concurrently
  * @param state whether it accepts requests
- * @param warmUpMs time for which it is still slow after its start, milliseconds
+ * @param warmUpMs time for which it is still cold, counted from when its entry was written,
+ *     milliseconds; 0 when it is warm
  */
 public record TargetInstance(
         String id,
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRateLimits.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRateLimits.java
@@ -5,9 +5,9 @@
 import java.util.function.Predicate;
 
 /**
- * Limits that targets name in their answers: the requests per second that they take from all hosts
- * together. The newest answer that any host has got counts, and holds until a newer one. Not
- * thread-safe.
+ * The requests per second that targets take from all hosts together: what they name in their
+ * answers, and what they tolerate while they are cold. The newest answer that any host has got
+ * counts, and holds until a newer one. Not thread-safe.
  */
 public final class TargetRateLimits {
     /** Stands for an answer without a limit. */
@@ -27,8 +27,19 @@
      */
     public record Observation(double perS, long observedAt) {}
 
+    private final ColdTargets mCold;
     private final Map<String, Observation> mByTarget = new HashMap<>();
 
+    /** Creates an instance without limits whose targets are never cold. */
+    public TargetRateLimits() {
+        this(new ColdTargets(service -> null));
+    }
+
+    /** Creates an instance that has no limits but those of {@code coldTargets}. */
+    public TargetRateLimits(ColdTargets coldTargets) {
+        mCold = coldTargets;
+    }
+
     /**
      * Records what an answer of a target said, unless a newer answer is known. A limit that is not
      * a number is ignored.
@@ -47,19 +58,33 @@
         return known == null || known.perS() != perS;
     }
 
-    /** Returns whether the target names a limit. */
+    /** Returns whether the target names a limit, or has one because it is cold. */
     public boolean isLimited(String target) {
+        return namesLimit(target) || hasColdLimit(target);
+    }
+
+    private boolean namesLimit(String target) {
         Observation known = mByTarget.get(target);
         return known != null && known.perS() >= 0;
     }
 
+    /** Returns whether the target takes few requests because it is cold. */
+    public boolean hasColdLimit(String target) {
+        return Double.isFinite(mCold.perS(target));
+    }
+
+    /** Returns whether the target is cold, be its requests limited or not. */
+    public boolean isCold(String target) {
+        return mCold.isCold(target);
+    }
+
     /** Returns the requests per second that a target gets; infinite without a limit. */
     public double perS(String target) {
         Observation known = mByTarget.get(target);
         if (known == null || known.perS() < 0) {
-            return Double.POSITIVE_INFINITY;
+            return mCold.perS(target);
         }
-        return Math.max(MIN_PER_S, known.perS());
+        return Math.min(mCold.perS(target), Math.max(MIN_PER_S, known.perS()));
     }
 
     /** Returns what is known of each target that has ever named a limit, by incarnation. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRequestBuckets.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/TargetRequestBuckets.java
@@ -74,7 +74,10 @@
         }
         double rate = mLimits.perS(target) * share;
         double filled = bucket.mTokens + rate * (now - bucket.mRefilledAt) / NANOS_PER_SECOND;
-        bucket.mTokens = Math.min(filled, Math.max(mMinBurst, rate * BURST_S));
+        // A cold target crashes under a burst that a warm one with the same limit would take.
+        double burst =
+                mLimits.hasColdLimit(target) ? mMinBurst : Math.max(mMinBurst, rate * BURST_S);
+        bucket.mTokens = Math.min(filled, burst);
         bucket.mRefilledAt = now;
         return bucket;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/EvacuationTracker.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/EvacuationTracker.java
@@ -23,14 +23,20 @@
 
     private final FleetProtocol mProtocol;
     private final ServingState mState;
+    private final WarmUpTracker mWarmUps;
 
     /** Domains in force for which it was checked whether any target names them. */
     private final Set<String> mCheckedDomains = new HashSet<>();
 
-    /** Creates a tracker that sets the orders of {@code state}. */
-    EvacuationTracker(FleetProtocol protocol, ServingState state) {
+    /**
+     * Creates a tracker that sets the orders of {@code state}.
+     *
+     * @param warmUps learns which targets may be cold since they got no requests
+     */
+    EvacuationTracker(FleetProtocol protocol, ServingState state, WarmUpTracker warmUps) {
         mProtocol = protocol;
         mState = state;
+        mWarmUps = warmUps;
     }
 
     @Override
@@ -96,7 +102,11 @@
         }
         mState.setEvacuation(orders);
         orders.domainsNotIn(former).forEach(domain -> log(domain, orders, source, "in-force"));
-        former.domainsNotIn(orders).forEach(domain -> log(domain, orders, source, "lifted"));
+        Set<String> lifted = former.domainsNotIn(orders);
+        lifted.forEach(domain -> log(domain, orders, source, "lifted"));
+        if (!lifted.isEmpty()) {
+            mWarmUps.recordLifted(lifted);
+        }
         mCheckedDomains.retainAll(orders.domains());
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -31,14 +31,22 @@
 
     private final Ticker mTicker;
     private final Map<String, TargetLoad> mLoads = new HashMap<>();
-    private final TargetRateLimits mLimits = new TargetRateLimits();
+    private final WarmUpTracker mWarmUps;
+    private final TargetRateLimits mLimits;
     private final Map<String, Report> mReports = new HashMap<>();
     private Runnable mEndListener = () -> {};
     private boolean mSumsOutdated;
     private long mSummedAt;
 
-    /** Creates an empty table. */
+    /** Creates an empty table of targets that are never cold. */
     public LoadTable(Ticker ticker) {
+        this(ticker, new WarmUpTracker(ticker, new ServingState()));
+    }
+
+    /** Creates an empty table of targets that are cold when {@code warmUps} says so. */
+    LoadTable(Ticker ticker, WarmUpTracker warmUps) {
+        mWarmUps = warmUps;
+        mLimits = new TargetRateLimits(warmUps.coldTargets());
         mTicker = ticker;
         mSummedAt = ticker.nanoTime();
     }
@@ -84,8 +92,16 @@
         }
     }
 
-    /** Returns the limits for this host's reports. */
-    List<TargetLimit> limitsForReport() {
+    /** Adds to a report which requests targets take, as far as this host knows. */
+    void addLimitsTo(HostReport report) {
+        List<TargetLimit> limits = limitsForReport();
+        if (!limits.isEmpty()) {
+            report.setTargetLimits(limits);
+        }
+        mWarmUps.addTo(report);
+    }
+
+    private List<TargetLimit> limitsForReport() {
         long now = mTicker.nanoTime();
         List<TargetLimit> limits = new ArrayList<>();
         mLimits.observations()
@@ -110,6 +126,7 @@
         if (report.isSetTargetLimits()) {
             adoptLimits(report.getTargetLimits());
         }
+        mWarmUps.recordReport(report);
         mReports.put(report.getHost(), new Report(mTicker.nanoTime(), report.getInFlight()));
         mSumsOutdated = true;
     }
@@ -188,9 +205,10 @@
 
     /**
      * Drops the loads of targets that are no longer registered and have nothing of this host in
-     * flight.
+     * flight, and the limits of those that are warm by now.
      */
     public void retainRegistered(ServingState state) {
+        mWarmUps.removeWarm();
         mLimits.retain(target -> isRegistered(state, target));
         mLoads.entrySet()
                 .removeIf(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -368,19 +368,37 @@
 
     private @Nullable TargetInstance selectForBatch(
             List<TargetInstance> targets, int reservedSlots) {
+        long now = mTicker.nanoTime();
         TargetSelector.Choice choice =
-                mTargetSelector.selectForBatch(
-                        targets, Set.of(), reservedSlots, mTicker.nanoTime());
+                mTargetSelector.selectForBatch(warm(targets), Set.of(), reservedSlots, now);
+        if (choice == null) {
+            choice = mTargetSelector.selectForBatch(targets, Set.of(), reservedSlots, now);
+        }
         return choice == null ? null : choice.target();
     }
 
+    private List<TargetInstance> warm(List<TargetInstance> targets) {
+        return targets.stream().filter(target -> !mLimits.isCold(target.incarnation())).toList();
+    }
+
+    /** Chooses a warm target with a free slot, or else any. */
+    private TargetSelector.@Nullable Choice selectForOnline(
+            List<TargetInstance> targets, Set<String> excluded) {
+        long now = mTicker.nanoTime();
+        List<TargetInstance> warm = warm(targets);
+        TargetSelector.Choice choice = mTargetSelector.selectForOnline(warm, excluded, now);
+        boolean allAreWarm = warm.size() == targets.size();
+        if (allAreWarm || (choice != null && choice.occupancy() < 1)) {
+            return choice;
+        }
+        return mTargetSelector.selectForOnline(targets, excluded, now);
+    }
+
     private PlacementResult placeLocally(PlacementRequest request, String reason) {
         List<TargetInstance> targets =
                 mLimitShares.available(
                         mState.targets().readyTargets(request.service(), request.version()));
-        long now = mTicker.nanoTime();
-        TargetSelector.Choice choice =
-                mTargetSelector.selectForOnline(targets, request.excluded(), now);
+        TargetSelector.Choice choice = selectForOnline(targets, request.excluded());
         if (choice == null) {
             return new PlacementResult(null, 0, 0, reason);
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -19,7 +19,6 @@
 import org.sesamepin.node.peer.generated.ItemRunTime;
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
-import org.sesamepin.node.peer.generated.TargetLimit;
 import org.sesamepin.node.prompt.PromptGuard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -182,10 +181,7 @@
                         mBatchWork.firstDueInMs(),
                         targetsToAvoid(),
                         eventIntervalsMs);
-        List<TargetLimit> limits = mLoads.limitsForReport();
-        if (!limits.isEmpty()) {
-            report.setTargetLimits(limits);
-        }
+        mLoads.addLimitsTo(report);
         mConfigVerifier.addTo(report);
         mEvacuations.addTo(report);
         return report;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -108,17 +108,20 @@
         mPeers = new PeerTable(mTicker, settings.host(), settings.cores());
         mHosts = new RegisteredHosts(mPeers);
         mPeerClient = mCloser.add(new PeerClient(vertx));
-        mLoads = new LoadTable(mTicker);
+        WarmUpTracker warmUps = new WarmUpTracker(mTicker, mState);
+        warmUps.registerMetrics(mMetrics);
+        mLoads = new LoadTable(mTicker, warmUps);
         mTargetAccess = mCloser.add(new TargetAccess(vertx, mTicker, mState, mLoads, mPeers));
         mRateLimiter = new CustomerRateLimiter(mTicker, mState, mPeers, mPeerClient);
         mStoreRelay = new PeerStoreRelay(mPeers, mPeerClient, store, settings.seeds());
         store.setPeerRelay(mStoreRelay::callThroughPeer);
         ConfigUpdater configUpdater = new ConfigUpdater(protocol, mState);
         mPeerConfigReader = new PeerConfigReader(mState, mPeers, mPeerClient, configUpdater);
-        TargetRegistry targetRegistry = new TargetRegistry(vertx, mTicker, protocol, mState);
+        TargetRegistry targetRegistry =
+                new TargetRegistry(vertx, mTicker, protocol, mState, warmUps);
         mStreamOrigins = newStreamOrigins(store);
         mConfigVerifier = mCloser.add(new ConfigVerifier(vertx, mTicker, mState, this::hostCount));
-        mEvacuations = new EvacuationTracker(protocol, mState);
+        mEvacuations = new EvacuationTracker(protocol, mState, warmUps);
         mConfigMirror = newConfigMirror(configUpdater, operatorListener);
         mTargetMirror =
                 newMirror(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetLimitShares.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetLimitShares.java
@@ -17,6 +17,12 @@
     /** Hosts among which one request per second is divided. */
     private static final double HOSTS_PER_UNIT = 2;
 
+    /**
+     * Hosts among which the limit of a cold target is divided. Each of them may send one request at
+     * any moment, and a coordinator that others can reach gives out the limit at the same time.
+     */
+    private static final int MAX_HOLDERS_OF_COLD_TARGET = 3;
+
     private final Ticker mTicker;
     private final PeerTable mPeers;
     private final TargetRateLimits mLimits;
@@ -49,6 +55,9 @@
         }
         Map<String, Double> coresByHost = mPeers.coresByRateHost();
         double wanted = Math.ceil(mLimits.perS(incarnation) * HOSTS_PER_UNIT);
+        if (mLimits.hasColdLimit(incarnation)) {
+            wanted = Math.min(wanted, MAX_HOLDERS_OF_COLD_TARGET);
+        }
         int holders = (int) Math.max(1, Math.min(coresByHost.size(), wanted));
         return CoordinatorCandidates.ranked(incarnation, coresByHost, holders)
                         .contains(mPeers.self())
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetRegistry.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,21 +27,41 @@
     private static final Logger LOG = LoggerFactory.getLogger(TargetRegistry.class);
     private static final long REREGISTRATION_WINDOW_MS = 2_200;
 
+    /** Keys of removed entries that are remembered; older ones hardly come back. */
+    private static final int MAX_REMOVED_KEYS = 4_096;
+
     private final Vertx mVertx;
     private final Ticker mTicker;
     private final FleetProtocol mProtocol;
     private final ServingState mState;
+    private final WarmUpTracker mWarmUps;
     private final Map<String, TargetInstance> mTargets = new HashMap<>();
     private final Set<String> mMissingKeys = new HashSet<>();
 
     /** Revisions of the entries that cannot be decoded, each of which is logged once. */
     private final Map<String, Long> mUnusableRevisions = new HashMap<>();
 
+    /** Revisions of the entries that were read last. */
+    private final Map<String, Long> mRevisions = new HashMap<>();
+
+    /** Keys whose entries were removed, the oldest first. */
+    private final Set<String> mRemovedKeys = new LinkedHashSet<>();
+
     private boolean mKeepMissing;
     private long mKeepMissingUntil;
 
-    /** Creates a registry that updates the targets of {@code state}. */
-    public TargetRegistry(Vertx vertx, Ticker ticker, FleetProtocol protocol, ServingState state) {
+    /**
+     * Creates a registry that updates the targets of {@code state}.
+     *
+     * @param warmUps learns which targets are cold
+     */
+    TargetRegistry(
+            Vertx vertx,
+            Ticker ticker,
+            FleetProtocol protocol,
+            ServingState state,
+            WarmUpTracker warmUps) {
+        mWarmUps = warmUps;
         mVertx = vertx;
         mTicker = ticker;
         mProtocol = protocol;
@@ -95,7 +116,7 @@
         }
         mKeepMissing = false;
         for (String key : mMissingKeys) {
-            TargetInstance removed = mTargets.remove(key);
+            TargetInstance removed = removeTarget(key);
             LOG.info("step=target target={} outcome=gone-after-outage", incarnationOf(removed));
         }
         mMissingKeys.clear();
@@ -110,6 +131,7 @@
         try {
             TargetInstance target = mProtocol.decodeTarget(entry.key(), entry.value());
             TargetInstance previous = mTargets.put(entry.key(), target);
+            recordWarmUp(entry, target);
             mMissingKeys.remove(entry.key());
             mUnusableRevisions.remove(entry.key());
             if (!target.equals(previous)) {
@@ -125,7 +147,7 @@
                         previous == null ? "added" : "changed");
             }
         } catch (SesamepinException e) {
-            TargetInstance previous = mTargets.remove(entry.key());
+            TargetInstance previous = removeTarget(entry.key());
             Long reported = mUnusableRevisions.put(entry.key(), entry.modRevision());
             if (reported != null && reported == entry.modRevision()) {
                 return;
@@ -148,10 +170,33 @@
             mMissingKeys.add(key);
             return;
         }
-        TargetInstance removed = mTargets.remove(key);
+        TargetInstance removed = removeTarget(key);
         LOG.info("step=target target={} outcome=gone", incarnationOf(removed));
     }
 
+    private @Nullable TargetInstance removeTarget(String key) {
+        mRevisions.remove(key);
+        mRemovedKeys.add(key);
+        if (mRemovedKeys.size() > MAX_REMOVED_KEYS) {
+            mRemovedKeys.remove(mRemovedKeys.iterator().next());
+        }
+        return mTargets.remove(key);
+    }
+
+    /**
+     * Records whether the target of an entry is cold. An entry that was read before says how long
+     * the target was cold from then on.
+     */
+    private void recordWarmUp(StoreEntry entry, TargetInstance target) {
+        Long read = mRevisions.put(entry.key(), entry.modRevision());
+        if (read == null || read != entry.modRevision()) {
+            mWarmUps.recordEntry(target);
+        }
+        if (mRemovedKeys.remove(entry.key())) {
+            mWarmUps.recordReturn(target);
+        }
+    }
+
     private void publish() {
         mState.setTargets(mTargets.values());
     }
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -287,6 +287,9 @@
   17: optional set<string> evacuatedDomains
   // Revision of the store.
   18: optional i64 evacuationRevision
+  // Time until targets are warm that may have become cold while they got no requests, as the host
+  // has found out itself, milliseconds, by incarnation; not set when there are none.
+  19: optional map<string, i64> coldLeftMs
 }
 
 // Asks a peer for the configuration in force there.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/LoopbackFleet.java
@@ -69,12 +69,17 @@
      * @param slots slots of a target in the configuration; 0 leaves the service uncoordinated
      */
     LoopbackFleet(RouteKind kind, Set<String> badParts, int slots) {
+        this(kind, badParts, new ServiceSpec(StandInTargets.SERVICE, slots));
+    }
+
+    /** Creates a fleet without nodes whose targets belong to {@code service}. */
+    LoopbackFleet(RouteKind kind, Set<String> badParts, ServiceSpec service) {
         mTargets = new StandInTargets(mVertx, mStore, badParts);
         mConfig =
                 new ServingConfig(
                         1,
                         List.of(newRoute("r", kind), mBatchRoute),
-                        List.of(new ServiceSpec(StandInTargets.SERVICE, slots)),
+                        List.of(service),
                         null,
                         ConnectionLimits.DEFAULT);
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StandInTargets.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -239,8 +240,20 @@
 
     /** Returns the most requests that one target got within {@code windowMs} after a moment. */
     int mostArrivals(long windowMs, long afterNanos) {
+        return mostArrivals(mArrivalNanos.values(), windowMs, afterNanos);
+    }
+
+    /** Returns the same as {@link #mostArrivals}, of the targets of one failure domain. */
+    int mostArrivalsIn(String domain, long windowMs, long afterNanos) {
+        Map<String, List<Long>> arrivals = new HashMap<>(mArrivalNanos);
+        arrivals.keySet().removeIf(id -> !domain.equals(mDomains.get(id)));
+        return mostArrivals(arrivals.values(), windowMs, afterNanos);
+    }
+
+    private static int mostArrivals(
+            Collection<List<Long>> arrivalsByTarget, long windowMs, long afterNanos) {
         int most = 0;
-        for (List<Long> arrivals : mArrivalNanos.values()) {
+        for (List<Long> arrivals : arrivalsByTarget) {
             for (long from : arrivals) {
                 long until = from + TimeUnit.MILLISECONDS.toNanos(windowMs);
                 long count = arrivals.stream().filter(at -> at >= from && at < until).count();
