Use rate groups in fleets of more than 13 hosts

With 67 hosts, 339 requests of customers inside their rates were refused in 20 s, and nearly every request borrowed tokens from four holders.

CustomerRateLimiter now chooses between LoanRateLimiter, which is the former class without change in behaviour, and GroupRateLimiter, which asks the leader of the customer's rate group to admit each request. RateGroupSync exchanges the shares and hands them over at a planned stop. While a holder answers with a failure, since its build does not know the messages, loans are used.

RateHolders and its test move to the package of the limiters, otherwise unchanged. ServingFixture passes the limiter two more arguments.

GroupRateLimiterTest passes with 14 hosts on loopback. No fleet of 67 hosts has run with this.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/AdmissionAttempt.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/AdmissionAttempt.java
@@ -17,8 +17,14 @@
 
     private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final int LATENCY_OBJECTIVE_DIVISOR = 4;
-    private static final long MIN_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
     private static final int MAX_UNANSWERED = 3;
+
+    /**
+     * Hosts that are asked even when no time is left: a refused request is lost, a late one is not.
+     */
+    private static final int MIN_ASKED = 2;
+
+    private static final long LATE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final List<String> mHosts;
@@ -51,13 +57,19 @@
 
     /** Returns how long to wait for the answer of the host that is asked at {@code now}. */
     public long timeoutNanos(long now) {
-        return Math.max(MIN_TIMEOUT_NANOS, Math.min(ANSWER_TIMEOUT_NANOS, mDeadline - now));
+        if (mUnanswered == 0) {
+            return ANSWER_TIMEOUT_NANOS;
+        }
+        return Math.max(LATE_TIMEOUT_NANOS, Math.min(ANSWER_TIMEOUT_NANOS, mDeadline - now));
     }
 
     /** Records that the host did not answer; the next one may be asked at once. */
     public void onNoAnswer(long now) {
         mNext++;
-        mUnanswered = mDeadline - now <= 0 ? MAX_UNANSWERED : mUnanswered + 1;
+        mUnanswered++;
+        if (mDeadline - now <= 0 && mUnanswered >= MIN_ASKED) {
+            mUnanswered = MAX_UNANSWERED;
+        }
     }
 
     /**
--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/FractionTokenBucket.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/FractionTokenBucket.java
@@ -18,6 +18,7 @@
     private final double mRate;
     private final double mBurst;
     private double mTokens;
+    private double mFraction;
     private double mCredit;
     private long mCreditUntil;
     private long mRefilledAt;
@@ -57,13 +58,21 @@
 
     /** Removes the tokens above the part of the burst that {@code fraction} allows. */
     void cut(double fraction, long now) {
-        double cap = mBurst * fraction;
-        mTokens = Math.min(mTokens, cap);
-        if (mCredit > 0) {
-            double used = now - mCreditUntil < 0 ? Math.min(mCredit, cap - mTokens) : 0;
-            mTokens += used;
-            mCredit = now - mCreditUntil < 0 ? mCredit - used : 0;
+        mTokens = Math.min(mTokens, mBurst * fraction);
+        if (now - mCreditUntil >= 0) {
+            mCredit = 0;
         }
+        // Credit follows the shares: used up at a lower fraction it could add to the tokens of
+        // another leader that gets the remaining shares.
+        useCredit(mBurst * Math.max(0, fraction - mFraction), fraction);
+        mFraction = fraction;
+    }
+
+    private void useCredit(double most, double fraction) {
+        double free = mBurst * fraction - mTokens;
+        double used = Math.min(mCredit, Math.min(most, free));
+        mTokens += used;
+        mCredit -= used;
     }
 
     /**
@@ -71,9 +80,10 @@
      * as the held fraction rises, for 3 s.
      */
     void credit(double tokens, double fraction, long now) {
+        cut(fraction, now);
         mCredit = Math.min(mBurst, mCredit + Math.max(0, tokens));
         mCreditUntil = now + CREDIT_TTL_NANOS;
-        cut(fraction, now);
+        useCredit(mBurst, fraction);
     }
 
     /** Removes and returns all tokens. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/GroupRates.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/GroupRates.java
@@ -34,9 +34,9 @@
         mFirstSequence = firstSequence;
     }
 
-    /** Records customers whose requests this process admits in another way, from full buckets. */
-    public void recordOtherwiseServed(Collection<String> customers) {
-        mKnownCustomers.addAll(customers);
+    /** Records a customer of whose burst this process has used its share in another way. */
+    public void recordOtherwiseServed(String customer) {
+        mKnownCustomers.add(customer);
     }
 
     /**
@@ -105,16 +105,16 @@
 
     /**
      * Returns the hosts to ask to admit requests of {@code customer}, in order: this host when it
-     * leads the group, then the reachable holders.
+     * leads the group, or the host that uses this host's share, then the reachable holders. This
+     * host is left out when it is about to stop.
      */
-    public List<String> hostsToAsk(String customer, Predicate<String> reachable) {
+    public List<String> hostsToAsk(String customer, Predicate<String> reachable, long now) {
         String group = mGroups.groupOf(customer);
         RateGroupMember member = mMembersByGroup.get(group);
-        boolean leads = member != null && member.isLeading();
-        List<String> holders = mGroups.holdersOf(group);
-        return Stream.concat(
-                        leads ? Stream.of(mSelf) : Stream.empty(),
-                        holders.stream().filter(h -> h.equals(mSelf) || reachable.test(h)))
+        boolean asksSelf = member != null && !member.isStopping();
+        String leader = member == null ? null : member.leader(now);
+        return Stream.concat(Stream.ofNullable(leader), mGroups.holdersOf(group).stream())
+                .filter(host -> host.equals(mSelf) ? asksSelf : reachable.test(host))
                 .distinct()
                 .toList();
     }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/RateGroupMember.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/RateGroupMember.java
@@ -19,18 +19,11 @@
     /** Interval at which a leader asks for each share. */
     public static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    private static final long FAST_ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
-    /** Time for which a new leader asks more often for shares that it does not hold yet. */
-    private static final long FAST_ASK_NANOS = TimeUnit.SECONDS.toNanos(2);
-
     private static final long DELEGATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
     /** Longer than the delegation by 2%, for clocks that run at different speeds. */
     private static final long LENT_NANOS = DELEGATION_NANOS + DELEGATION_NANOS / 50;
 
-    private static final long STOPPING_NANOS = TimeUnit.SECONDS.toNanos(10);
-
     /** Part of the rate below which a host without tokens counts as recovering. */
     private static final double RECOVERING_BELOW = 0.5;
 
@@ -40,8 +33,7 @@
     private final String mSelf;
     private final HeldShares mHeld = new HeldShares();
     private final Map<String, FractionTokenBucket> mBuckets = new HashMap<>();
-    private final Map<String, Long> mStoppingUntil = new HashMap<>();
-    private final Map<String, Long> mAskedAt = new HashMap<>();
+    private final GroupLeadership mLeadership;
     private List<String> mHolders = List.of();
     private double mOwnFraction;
     private double mFraction;
@@ -50,8 +42,6 @@
     private long mLentSequence;
     private long mSequence;
     private long mReleasedSequence;
-    private long mEarlierAskedAt;
-    private @Nullable Long mLeadingSince;
     private boolean mStopping;
 
     /**
@@ -64,7 +54,7 @@
         mSelf = self;
         mSequence = firstSequence;
         mReleasedSequence = firstSequence;
-        mEarlierAskedAt = now;
+        mLeadership = new GroupLeadership(self, now);
     }
 
     /** Replaces the holders, in the order in which they become leader. */
@@ -149,58 +139,43 @@
      * before this host gets one interval more to become leader.
      */
     public boolean updateLeading(Predicate<String> reachable, long now) {
-        boolean leads = mayLead(reachable, now);
-        if (leads && mLeadingSince == null) {
-            mLeadingSince = now;
-        } else if (!leads) {
-            mLeadingSince = null;
-        }
-        return leads;
-    }
-
-    private boolean mayLead(Predicate<String> reachable, long now) {
         advance(now);
-        if (mStopping || !mHolders.contains(mSelf)) {
+        int rank = mHolders.indexOf(mSelf);
+        boolean isLentToEarlier =
+                rank >= 0 && mLentTo != null && mHolders.subList(0, rank).contains(mLentTo);
+        if (mStopping || rank < 0 || isLentToEarlier) {
+            mLeadership.endLeading();
             return false;
         }
-        List<String> earlierHolders = mHolders.subList(0, mHolders.indexOf(mSelf));
-        if (mLentTo != null && earlierHolders.contains(mLentTo)) {
-            return false;
-        }
-        int earlier = 0;
-        for (String holder : earlierHolders) {
-            earlier += !isStopping(holder, now) && reachable.test(holder) ? 1 : 0;
+        return mLeadership.update(mHolders, reachable, LENT_NANOS, now);
+    }
+
+    /**
+     * Returns the host that leads the group as far as this host knows: itself, or the one that uses
+     * its share; null if it knows none.
+     */
+    public @Nullable String leader(long now) {
+        if (isLeading()) {
+            return mSelf;
         }
-        long allowedSilence = LENT_NANOS + (earlier - 1) * ASK_INTERVAL_NANOS;
-        return earlier == 0 || now - mEarlierAskedAt > allowedSilence;
+        advance(now);
+        return mLentTo == null || mLentTo.isEmpty() ? null : mLentTo;
+    }
+
+    /** Returns whether this process is about to stop. */
+    public boolean isStopping() {
+        return mStopping;
     }
 
     /** Returns whether this host led the group at the last {@link #updateLeading}. */
     public boolean isLeading() {
-        return mLeadingSince != null;
+        return mLeadership.isLeading();
     }
 
     /** Returns the holders to ask now for their share, and records that they were asked. */
     public List<String> holdersToAsk(long now) {
-        Long since = mLeadingSince;
-        if (since == null) {
-            return List.of();
-        }
         advance(now);
-        boolean fast = now - since < FAST_ASK_NANOS;
-        List<String> due =
-                mHolders.stream()
-                        .filter(holder -> !holder.equals(mSelf) && isDue(holder, fast, now))
-                        .toList();
-        due.forEach(holder -> mAskedAt.put(holder, now));
-        return due;
-    }
-
-    private boolean isDue(String holder, boolean fast, long now) {
-        Long askedAt = mAskedAt.get(holder);
-        long interval =
-                fast && !mHeld.contains(holder) ? FAST_ASK_INTERVAL_NANOS : ASK_INTERVAL_NANOS;
-        return askedAt == null || now - askedAt >= interval;
+        return mLeadership.holdersToAsk(mHolders, mHeld::contains, now);
     }
 
     /** Returns the number of the next request that this host sends. */
@@ -222,14 +197,13 @@
         }
         boolean isEarlier = rank < ownRank;
         if (isEarlier) {
-            mEarlierAskedAt = now;
-            mStoppingUntil.remove(asker);
+            mLeadership.onEarlierHolder(asker, now);
         }
         boolean lentElsewhere = mLentTo != null && !mLentTo.equals(asker);
         if (lentElsewhere || (isLeading() && !isEarlier)) {
             return ShareAnswer.DENIED;
         }
-        mLeadingSince = null;
+        mLeadership.endLeading();
         boolean isRenewal = mLentTo != null;
         List<String> released = List.copyOf(mHeld.holders());
         Map<String, Double> tokens = Map.of();
@@ -288,7 +262,7 @@
         advance(now);
         settle(now);
         mStopping = true;
-        mLeadingSince = null;
+        mLeadership.endLeading();
         List<String> released = List.copyOf(mHeld.holders());
         Map<String, Double> tokens = drainBuckets();
         giveUpHeld();
@@ -302,7 +276,7 @@
      * @param sequence number of the message
      */
     public void onHandover(String leader, long sequence, Map<String, Double> tokens, long now) {
-        mStoppingUntil.put(leader, now + STOPPING_NANOS);
+        mLeadership.onStopping(leader, now);
         onRelease(leader, sequence, now);
         credit(tokens, now);
     }
@@ -312,9 +286,9 @@
      * uses this host's share, or null.
      */
     public @Nullable String relayTarget(Predicate<String> reachable, long now) {
-        advance(now);
-        if (mLentTo != null && !mLentTo.isEmpty()) {
-            return mLentTo;
+        String leader = leader(now);
+        if (leader != null && !leader.equals(mSelf)) {
+            return leader;
         }
         return mStopping ? successor(reachable, now) : null;
     }
@@ -322,7 +296,11 @@
     /** Returns the first reachable holder other than this host, or null. */
     public @Nullable String successor(Predicate<String> reachable, long now) {
         return mHolders.stream()
-                .filter(h -> !h.equals(mSelf) && !isStopping(h, now) && reachable.test(h))
+                .filter(
+                        h ->
+                                !h.equals(mSelf)
+                                        && !mLeadership.isStopping(h, now)
+                                        && reachable.test(h))
                 .findFirst()
                 .orElse(null);
     }
@@ -333,15 +311,10 @@
         return mFraction;
     }
 
-    private boolean isStopping(String holder, long now) {
-        Long until = mStoppingUntil.get(holder);
-        return until != null && now - until < 0;
-    }
-
     private void giveUpHeld() {
         mReleasedSequence = ++mSequence;
         mHeld.clear();
-        mAskedAt.clear();
+        mLeadership.forgetAsked();
     }
 
     private Map<String, Double> drainBuckets() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateFleet.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateFleet.java
@@ -19,7 +19,6 @@
 final class RateFleet {
     private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long TICK = 100 * MS;
-    private static final long AVOIDANCE = RateWorkload.SECOND;
 
     private record Event(long at, long number, Runnable action) {}
 
@@ -29,8 +28,9 @@
     /** One host with its own monotonic clock, which a pause does not stop. */
     private final class Host {
         private final String mName;
+        private final RecentRefusals mRefusals = new RecentRefusals();
         private GroupRates mRates;
-        private final Map<String, Long> mAvoidUntil = new HashMap<>();
+        private final HolderAvoidance mAvoidance = new HolderAvoidance();
         private Map<String, Double> mView;
         private boolean mLost;
         private long mPausedUntil;
@@ -42,7 +42,7 @@
         }
 
         boolean reaches(String other) {
-            return mView.containsKey(other) && mAvoidUntil.getOrDefault(other, 0L) <= mNow;
+            return mView.containsKey(other) && !mAvoidance.isAvoided(other, mNow);
         }
 
         void tick() {
@@ -63,7 +63,7 @@
         }
 
         private void lead(String group, RateGroupMember member) {
-            if (!member.updateLeading(this::reaches, mNow)) {
+            if (!member.updateLeading(mView::containsKey, mNow)) {
                 return;
             }
             for (String holder : member.holdersToAsk(mNow)) {
@@ -134,7 +134,11 @@
         }
 
         void request(CustomerSpec customer) {
-            List<String> hosts = mRates.hostsToAsk(customer.name(), this::reaches);
+            if (mRefusals.remainingNanos(customer.name(), mNow) > 0) {
+                mRefused++;
+                return;
+            }
+            List<String> hosts = mRates.hostsToAsk(customer.name(), this::reaches, mNow);
             ask(customer, new AdmissionAttempt(hosts, 0, mNow));
         }
 
@@ -155,7 +159,7 @@
                     () -> {
                         if (!done[0]) {
                             done[0] = true;
-                            mAvoidUntil.put(asked, mNow + AVOIDANCE);
+                            mAvoidance.recordNoAnswer(asked, mNow);
                             attempt.onNoAnswer(mNow);
                             ask(customer, attempt);
                         }
@@ -171,6 +175,7 @@
                                     decision -> {
                                         if (!done[0]) {
                                             done[0] = true;
+                                            mAvoidance.recordAnswer(asked);
                                             onDecision(customer, attempt, decision);
                                         }
                                     }));
@@ -183,6 +188,10 @@
             } else if (attempt.onRefusal(decision.nanosUntilToken(), decision.recovering(), mNow)) {
                 after(AdmissionAttempt.RECOVERY_PAUSE_NANOS, () -> ask(customer, attempt));
             } else {
+                if (!decision.recovering()) {
+                    long spread = (long) (mRandom.nextDouble() * decision.nanosUntilToken());
+                    mRefusals.record(customer.name(), decision.nanosUntilToken() + spread, mNow);
+                }
                 mRefused++;
             }
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/RateHolders.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/limit/RateHolders.java
@@ -1,9 +1,10 @@
-package org.sesamepin.node.serving;
+package org.sesamepin.node.limit;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import org.sesamepin.core.membership.CoordinatorCandidates;
+import org.sesamepin.node.serving.PeerTable;
 
 /**
  * Determines the hosts among which the rate of a customer is divided. In a large fleet these are a
--- a/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/peer/PeerClient.java
@@ -81,7 +81,8 @@
     /**
      * Calls the node at {@code address}, an IP number with port. The future fails with a {@link
      * SesamepinException} when no reply arrives within {@code timeoutMs}; its {@link Execution} is
-     * then unknown, but not run when the connection could not be established.
+     * then unknown, but not run when the connection could not be established. It fails with a
+     * {@link PeerFailureException} when the peer answers with a failure.
      */
     public Future<PeerReply> call(String address, PeerRequest request, long timeoutMs) {
         Connection connection = mConnections.computeIfAbsent(address, this::connect);
@@ -183,7 +184,7 @@
     private static Future<PeerReply> failOnFailureReply(String address, PeerReply reply) {
         if (reply.isSet(PeerReply._Fields.FAILURE)) {
             Failure failure = reply.getFailure();
-            return Future.failedFuture(notRunError(address, failure.getMessage()));
+            return Future.failedFuture(new PeerFailureException(address, failure.getMessage()));
         }
         return Future.succeededFuture(reply);
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -91,7 +91,7 @@
                 return;
             }
             mContext.rateLimiter()
-                    .admit(customer)
+                    .admit(customer, route.latencyObjectiveMs())
                     .onSuccess(
                             admission -> {
                                 if (admission.admitted()) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PeerTable.java
@@ -117,6 +117,11 @@
         mFailures.put(name, new Failures(count + 1, mTicker.nanoTime() + avoidNanos));
     }
 
+    /** Returns the peer {@code name} if it is registered, reachable or not, or null. */
+    public @Nullable Peer findRegistered(String name) {
+        return mPeers.get(name);
+    }
+
     /** Returns all registered peers. */
     public Collection<Peer> registered() {
         return mPeers.values();
@@ -157,7 +162,7 @@
     }
 
     /** Returns whether the fleet is too large for each host to know the loads of all others. */
-    boolean isLargeFleet() {
+    public boolean isLargeFleet() {
         return mPeers.size() > MAX_PEERS_IN_ONE_ROUND;
     }
 
@@ -186,7 +191,7 @@
      * rates. A host that left counts for a while longer: it may still serve without knowing that
      * its registration has expired.
      */
-    Map<String, Double> coresByRateHost() {
+    public Map<String, Double> coresByRateHost() {
         long now = mTicker.nanoTime();
         mDeparted.values().removeIf(departed -> now - departed.leftAt() > SHARE_RETENTION_NANOS);
         Map<String, Double> cores = coresByHost();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.sesamepin.node.limit.Admission;
 
 /** Counters and histograms of a node that serves routes. */
 public final class ServingMetrics {
@@ -31,6 +32,13 @@
                     "outcome");
     private final Counter mPreemptions =
             counter("sesamepin_items_preempted", "Batch items that gave way.");
+    private final Counter mAdmissions =
+            counter(
+                    "sesamepin_rate_admissions",
+                    "Requests admitted under a rate limit, by where the token came from.",
+                    "source");
+    private final Counter mRateRefusals =
+            counter("sesamepin_rate_refusals", "Requests refused under a rate limit.", "reason");
     private final Counter mStoreCalls =
             counter("sesamepin_store_calls", "Calls to the store.", "kind", "outcome");
     private final Counter mItems = counter("sesamepin_items", "Batch items by end.", "outcome");
@@ -80,6 +88,12 @@
         mAttempts.labelValues(service, outcome).inc();
     }
 
+    /** Counts a decision on a request of a customer whose rate is limited. */
+    public void countAdmission(Admission admission) {
+        Counter counter = admission.admitted() ? mAdmissions : mRateRefusals;
+        counter.labelValues(admission.reason()).inc();
+    }
+
     /** Counts a call to the store. */
     public void countStoreCall(String kind, String outcome) {
         mStoreCalls.labelValues(kind, outcome).inc();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -109,7 +109,8 @@
         mPeerClient = mCloser.add(new PeerClient(vertx));
         mLoads = new LoadTable(mTicker);
         mTargetAccess = mCloser.add(new TargetAccess(vertx, mTicker, mState, mLoads, mPeers));
-        mRateLimiter = new CustomerRateLimiter(mTicker, mState, mPeers, mPeerClient);
+        mRateLimiter =
+                new CustomerRateLimiter(vertx, mTicker, mState, mPeers, mPeerClient, mMetrics);
         mStoreRelay = new PeerStoreRelay(mPeers, mPeerClient, store, settings.seeds());
         store.setPeerRelay(mStoreRelay::callThroughPeer);
         ConfigUpdater configUpdater = new ConfigUpdater(protocol, mState);
@@ -344,9 +345,7 @@
         server.registerHandler(
                 PeerRequest._Fields.CONFIG_REQUEST,
                 request -> Future.succeededFuture(mPeerConfigReader.reply()));
-        server.registerHandler(
-                PeerRequest._Fields.LOAN,
-                request -> Future.succeededFuture(mRateLimiter.lend(request.getLoan())));
+        mRateLimiter.start(server);
         server.registerHandler(
                 PeerRequest._Fields.JOB_NOTICE,
                 request -> {
@@ -460,6 +459,7 @@
                         startedAt + TimeUnit.MILLISECONDS.toNanos(BALANCER_LAG_MS),
                         startedAt + TimeUnit.MILLISECONDS.toNanos(callTimeMs())));
         LOG.info("step=stop host={} running={}", mSettings.host(), calls.runningCalls());
+        mRateLimiter.handOver();
         return mJobRunner
                 .handOver()
                 .onComplete(done -> mLease.release())
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -350,6 +350,44 @@
   1: double lent
 }
 
+// Asks a holder of a rate group for its share, or tells it that its share is no longer used.
+struct ShareRequest {
+  1: string group
+  2: string host
+  // Rises with each message of the asking process.
+  3: i64 sequence
+  4: optional bool released
+}
+
+struct ShareReply {
+  1: bool delegated
+  2: double fraction
+  // Tokens that were removed from the holder's buckets for the asking host, by customer.
+  3: optional map<string, double> tokens
+}
+
+// Asks the leader of a customer's rate group to admit one request.
+struct AdmitRequest {
+  1: string customer
+  // Set on a request that a holder passes on to the host that uses its share.
+  2: optional bool relayed
+}
+
+struct AdmitReply {
+  1: bool admitted
+  2: i64 retryAfterMs
+  // Whether the host holds less than half of the rate, so that the request had better wait.
+  3: bool recovering
+}
+
+// Tokens of a leader that stops, which it has removed from its buckets.
+struct RateHandover {
+  1: string group
+  2: map<string, double> tokensByCustomer
+  3: string host
+  4: i64 sequence
+}
+
 // A call to the platform's store, made by a peer for a host that the store turns away.
 struct StoreRelay {
   1: string method
@@ -412,6 +450,9 @@
   19: SuspendItem suspendItem
   20: PromptEvidence promptEvidence
   21: ConfigRequest configRequest
+  22: ShareRequest shareRequest
+  23: AdmitRequest admitRequest
+  24: RateHandover rateHandover
 }
 
 union PeerReply {
@@ -430,6 +471,8 @@
   13: JobReadReply jobRead
   14: PlaceAnswer placeAnswer
   15: ConfigReply config
+  16: ShareReply shareReply
+  17: AdmitReply admitReply
 }
 
 struct PeerFrame {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/RateHoldersTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/limit/RateHoldersTest.java
@@ -1,4 +1,4 @@
-package org.sesamepin.node.serving;
+package org.sesamepin.node.limit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.sesamepin.node.serving.PeerTable;
 
 /**
  * Tests among which hosts the rate of a customer is divided. All hosts have to agree, and a host
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -68,7 +68,8 @@
                         placementClient,
                         mTargetClient,
                         new TargetConnector(vertx, mTargetClient, tunnels, mReachability),
-                        new CustomerRateLimiter(Ticker.SYSTEM, mState, mPeers, mPeerClient),
+                        new CustomerRateLimiter(
+                                vertx, Ticker.SYSTEM, mState, mPeers, mPeerClient, metrics),
                         new PromptGuard(
                                 vertx,
                                 Ticker.SYSTEM,
