--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/DemoFleet.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/DemoFleet.java
@@ -156,31 +156,37 @@
     }
 
     private NodeSettings nodeSettings(int index) throws SesamepinException {
+        return NodeSettings.parse("demo", nodeSettingsText(index));
+    }
+
+    /**
+     * Returns the settings file of the node {@code index}; indexes from {@link #NODE_COUNT} on are
+     * for nodes that run as processes of their own.
+     */
+    public String nodeSettingsText(int index) {
         int port = mFirstPort + 100 + 10 * index;
         String publicKey =
                 Base64.getEncoder().encodeToString(mOperatorKey.getPublic().getEncoded());
-        String text =
-                String.join(
-                        "\n",
-                        "[node]",
-                        "host = entry-" + index,
-                        "failure_domain = " + FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
-                        "caller_address = " + LOOPBACK_IP + ":" + port,
-                        "admin_address = " + LOOPBACK_IP + ":" + (port + 1),
-                        "peer_address = " + LOOPBACK_IP + ":" + (port + 2),
-                        "event_loops = 1",
-                        "drain_ms = 300",
-                        "[store]",
-                        "address = " + LOOPBACK_IP + ":" + storePort(),
-                        "[host_list]",
-                        "address = " + LOOPBACK_IP + ":" + (mFirstPort + 1),
-                        "[limits]",
-                        "max_body_bytes = 200000",
-                        "read_timeout_ms = 1000",
-                        "[operators]",
-                        OPERATOR_NAME + " = " + publicKey,
-                        "");
-        return NodeSettings.parse("demo", text);
+        return String.join(
+                "\n",
+                "[node]",
+                "host = entry-" + index,
+                "failure_domain = " + FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
+                "caller_address = " + LOOPBACK_IP + ":" + port,
+                "admin_address = " + LOOPBACK_IP + ":" + (port + 1),
+                "peer_address = " + LOOPBACK_IP + ":" + (port + 2),
+                "event_loops = 1",
+                "drain_ms = 300",
+                "[store]",
+                "address = " + LOOPBACK_IP + ":" + storePort(),
+                "[host_list]",
+                "address = " + LOOPBACK_IP + ":" + (mFirstPort + 1),
+                "[limits]",
+                "max_body_bytes = 200000",
+                "read_timeout_ms = 1000",
+                "[operators]",
+                OPERATOR_NAME + " = " + publicKey,
+                "");
     }
 
     /** Returns the text of the bundle with the next version and {@code moreSections} appended. */
