--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ColdTargetLoadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ColdTargetLoadTest.java
@@ -126,7 +126,7 @@
                 .get(coordinator)
                 .recordReport(
                         new ServiceCoordinator.HostStatus(
-                                host, online, batch, Set.of(), Map.of(), waitingItems, 0),
+                                host, online, batch, Set.of(), Map.of(), waitingItems, 0, null),
                         ms * MS);
     }
 
