--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -109,10 +109,7 @@
         TargetRegistry targetRegistry =
                 new TargetRegistry(vertx, mTicker, protocol, mState, warmUps);
         mStreamOrigins = newStreamOrigins(store);
-        mConfigVerifier =
-                mCloser.add(
-                        new ConfigVerifier(
-                                vertx, mTicker, mState, this::hostCount, this::verificationDuty));
+        mConfigVerifier = newConfigVerifier();
         mEvacuations = new EvacuationTracker(protocol, mState, warmUps);
         mConfigMirror = newConfigMirror(configUpdater, operatorListener);
         mTargetMirror =
@@ -166,6 +163,12 @@
                         mHosts::isRendezvousOwner));
     }
 
+    private ConfigVerifier newConfigVerifier() {
+        return mCloser.add(
+                new ConfigVerifier(
+                        mVertx, mTicker, mState, this::hostCount, this::verificationDuty));
+    }
+
     private ConfigVerifier.Duty verificationDuty() {
         if (!mPeers.isLargeFleet()) {
             return ConfigVerifier.Duty.SHARED;
