Place requests by their expected work

Requests that look alike to the coordinator cost targets very different amounts of work. A short request waited in the queue of a target behind long ones while slots of other targets became free.

The coordinator learns the work of requests by route and declared tokens from requests that ended at any host; they travel with the requests for placements. Where the work of all requests at a full target is known, a request waits there only if a slot is expected within 40 ms. Targets that name in their load how long work takes there count as that much slower or faster, with half of the weight every 500 ms. Requests without tokens and targets without that figure are placed as before. The choice of targets moves from ServiceCoordinator to TargetChoice.

No fleet of processes was measured.

Tests construct ServiceCoordinator with TargetPaces; no check changed.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/InFlightTable.java
@@ -128,6 +128,21 @@
         return mGrantsByHost.values().stream().mapToInt(List::size).sum();
     }
 
+    /** Returns the online requests in flight of {@code host}, by incarnation of the target. */
+    Map<String, Integer> onlineOf(String host) {
+        Map<String, Integer> online = new HashMap<>();
+        Report report = mReportsByHost.get(host);
+        if (report != null) {
+            report.countsByTarget().forEach((target, count) -> online.put(target, count.online()));
+        }
+        for (Grant grant : mGrantsByHost.getOrDefault(host, List.of())) {
+            if (!grant.batch()) {
+                online.merge(grant.target(), 1, Integer::sum);
+            }
+        }
+        return online;
+    }
+
     /** Returns the requests in flight of all hosts, by incarnation of the target. */
     Map<String, Count> totalsByTarget(long now) {
         dropExpired(now);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/target/ServiceCoordinator.java
@@ -32,6 +32,8 @@
      * @param excluded incarnations of targets on which the request must not be placed
      * @param version software version of the targets on which it may be placed, because it
      *     continues a stream that began there; null for any
+     * @param route name of the route
+     * @param size tokens that the request declares
      */
     public record Request(
             String requestId,
@@ -41,7 +43,32 @@
             long latencyObjectiveNanos,
             long deadline,
             Set<String> excluded,
-            @Nullable String version) {
+            @Nullable String version,
+            String route,
+            RequestSize size) {
+        /** Creates a request that declares no tokens. */
+        public Request(
+                String requestId,
+                String host,
+                int rank,
+                boolean isRetry,
+                long latencyObjectiveNanos,
+                long deadline,
+                Set<String> excluded,
+                @Nullable String version) {
+            this(
+                    requestId,
+                    host,
+                    rank,
+                    isRetry,
+                    latencyObjectiveNanos,
+                    deadline,
+                    excluded,
+                    version,
+                    "",
+                    RequestSize.NONE);
+        }
+
         private boolean mayUse(TargetInstance target) {
             return (version == null || target.version().equals(version))
                     && !excluded.contains(target.incarnation());
@@ -112,27 +139,6 @@
      */
     public record Reply(@Nullable Grant grant, boolean rejected, long retryAfterNanos) {}
 
-    /**
-     * Online requests that may wait in a target's own queue, so that a freed slot is not idle until
-     * the next grant.
-     */
-    private static final int MAX_QUEUED_AT_TARGET = 1;
-
-    /** Slots of a target that batch items leave free for online requests that arrive meanwhile. */
-    private static final int SLOTS_RESERVED_FOR_ONLINE = 1;
-
-    /** Requests within a target's limit that batch items leave for online requests. */
-    private static final double TOKENS_RESERVED_FOR_ONLINE = 1;
-
-    /**
-     * Factor on the cost of a batch item at a target with a limit. Such a target has slots to spare
-     * but takes few requests, so it is best used by long ones.
-     */
-    private static final double LIMITED_TARGET_ITEM_COST = 0.25;
-
-    /** The coordinator gives out the limits of its targets alone. */
-    private static final double WHOLE_LIMIT = 1;
-
     private static final int MAX_QUEUE_LENGTH = 400;
 
     private static final long INITIAL_SERVICE_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -143,48 +149,32 @@
 
     private static final double SERVICE_TIME_GAIN = 0.1;
 
-    /**
-     * Load of a batch item relative to an online request; small, since an item can be preempted.
-     */
-    private static final double BATCH_ITEM_WEIGHT = 0.04;
-
-    /** Cost of preempting a batch item; exceeds the cost of any target with a free slot. */
-    private static final double PREEMPTION_COST = 1_000;
-
-    /** Cost of queueing at a target without batch items; exceeds the cost of a preemption. */
-    private static final double QUEUEING_COST = 2_000;
-
-    /**
-     * Slowdown, relative to the fastest target, above which batch items wait for a faster target
-     * unless more items wait than the faster targets have slots.
-     */
-    private static final double MAX_BATCH_SLOWDOWN = 2;
-
     /**
      * Time without a placement after which the items of a host take a slow target: online requests
      * may keep the faster ones full.
      */
     private static final long MAX_WAIT_FOR_FAST_TARGET_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** Which targets the items of a host may use. */
-    private record ItemTargets(Set<String> unusable, double maxSlowdown) {
-        boolean include(TargetInstance target, double slowdown) {
-            return slowdown <= maxSlowdown && !unusable.contains(target.incarnation());
-        }
-    }
-
     private final TargetRateLimits mLimits;
     private final TargetRequestBuckets mBuckets;
     private final InFlightTable mInFlight = new InFlightTable();
     private final TargetSpeeds mSpeeds = new TargetSpeeds();
+    private final WorkEstimator mEstimator = new WorkEstimator();
+    private final TargetWorkload mWorkload = new TargetWorkload();
+    private final TargetChoice mChoice;
     private final OnlineQueue mQueue = new OnlineQueue();
     private final WaitingItemsTable mWaitingItems = new WaitingItemsTable();
     private double mMeanServiceTimeNanos = INITIAL_SERVICE_TIME_NANOS;
 
-    /** Creates a coordinator that gives out what {@code limits} allows for all hosts. */
-    public ServiceCoordinator(TargetRateLimits limits) {
+    /**
+     * Creates a coordinator that gives out what {@code limits} allows for all hosts.
+     *
+     * @param paces how long work takes at the targets now
+     */
+    public ServiceCoordinator(TargetRateLimits limits, TargetPaces paces) {
         mLimits = limits;
         mBuckets = TargetRequestBuckets.ofFleet(limits);
+        mChoice = new TargetChoice(limits, paces, mBuckets, mInFlight, mSpeeds, mWorkload);
     }
 
     /** Records the time that an online request took from being sent to its end, nanoseconds. */
@@ -192,6 +182,22 @@
         mMeanServiceTimeNanos += SERVICE_TIME_GAIN * (serviceTimeNanos - mMeanServiceTimeNanos);
     }
 
+    /**
+     * Records an online request that has ended, from which the work of later ones is estimated.
+     *
+     * @param target incarnation of the target that ran it
+     * @param elapsedMs time from being sent to its end, milliseconds
+     */
+    public void recordEnded(
+            String route,
+            RequestSize size,
+            String target,
+            double elapsedMs,
+            List<TargetInstance> targets) {
+        double slowdown = mSpeeds.slowdowns(targets).getOrDefault(target, 1.0);
+        mEstimator.record(route, size, elapsedMs / slowdown);
+    }
+
     /**
      * Records the report of a host; it replaces the host's former report. A report that was made
      * before the former one is ignored.
@@ -211,6 +217,9 @@
         if (!isNewest) {
             return;
         }
+        if (!mWorkload.isEmpty()) {
+            mWorkload.retain(status.host(), mInFlight.onlineOf(status.host()), now);
+        }
         mSpeeds.recordReport(status.host(), status.eventIntervalsMs());
         mWaitingItems.recordReport(status.host(), status.waitingItems(), status.firstDueAt(), now);
     }
@@ -282,50 +291,19 @@
         return rejected;
     }
 
-    private @Nullable Grant place(Request request, List<TargetInstance> allTargets, long now) {
-        List<TargetInstance> targets = request.usable(allTargets);
-        Set<String> avoidedTargets = mInFlight.targetsToAvoid(request.host(), targets);
+    private @Nullable Grant place(Request request, List<TargetInstance> targets, long now) {
         Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
-        Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
-        TargetInstance best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (TargetInstance target : targets) {
-            InFlightTable.Count count =
-                    totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
-            int limit = target.slots() + MAX_QUEUED_AT_TARGET;
-            boolean hasRoom =
-                    count.online() < limit
-                            && mBuckets.mayStart(target.incarnation(), WHOLE_LIMIT, 0, now);
-            if (!hasRoom || isExcluded(request, target, avoidedTargets)) {
-                continue;
-            }
-            double load = (count.online() + count.batch() * BATCH_ITEM_WEIGHT) / target.slots();
-            double cost = slowdowns.getOrDefault(target.incarnation(), 1.0) * (1 + load);
-            boolean isFull = count.online() + count.batch() >= target.slots();
-            if (isFull) {
-                cost += count.batch() > 0 ? PREEMPTION_COST : QUEUEING_COST;
-            }
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = target;
-            }
+        TargetInstance target = mChoice.forRequest(request, request.usable(targets), totals, now);
+        if (target == null) {
+            return null;
         }
-        return best == null ? null : grant(request, best, totals, now);
-    }
-
-    private static boolean isExcluded(
-            Request request, TargetInstance target, Set<String> avoidedTargets) {
-        String incarnation = target.incarnation();
-        return request.excluded().contains(incarnation) || avoidedTargets.contains(incarnation);
+        InFlightTable.Count count =
+                totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
+        return grant(request, target, count, now);
     }
 
     private Grant grant(
-            Request request,
-            TargetInstance target,
-            Map<String, InFlightTable.Count> totals,
-            long now) {
-        InFlightTable.Count count =
-                totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
+            Request request, TargetInstance target, InFlightTable.Count count, long now) {
         int total = count.online() + count.batch();
         String suspendingHost = "";
         if (total >= target.slots() && count.batch() > 0) {
@@ -334,6 +312,10 @@
         }
         long number = mInFlight.recordGrant(request.host(), target.incarnation(), false, now);
         mBuckets.recordStart(target.incarnation());
+        WorkEstimator.Estimate work = mEstimator.estimate(request.route(), request.size());
+        if (work != null) {
+            mWorkload.recordGrant(request.host(), target.incarnation(), work, now);
+        }
         double occupancy = (double) total / Math.max(1, target.slots());
         return new Grant(
                 request.requestId(), request.host(), target, occupancy, suspendingHost, number);
@@ -371,10 +353,10 @@
     private void placeBatchItems(List<TargetInstance> targets, long now, List<Grant> grants) {
         Set<String> wantedTargets = targetsOfQueue(targets);
         Set<String> hostsWithoutTarget = new HashSet<>();
-        Set<ItemTargets> withoutRoom = new HashSet<>();
+        Set<TargetChoice.ItemTargets> withoutRoom = new HashSet<>();
         String host = mWaitingItems.hostWithFirstDueItem(hostsWithoutTarget, now);
         while (!host.isEmpty()) {
-            ItemTargets usable = targetsForItems(host, targets, wantedTargets, now);
+            TargetChoice.ItemTargets usable = targetsForItems(host, targets, wantedTargets, now);
             Grant grant =
                     withoutRoom.contains(usable)
                             ? null
@@ -390,62 +372,28 @@
         }
     }
 
-    private ItemTargets targetsForItems(
+    private TargetChoice.ItemTargets targetsForItems(
             String host, List<TargetInstance> targets, Set<String> wantedTargets, long now) {
         Set<String> unusable = new HashSet<>(mInFlight.targetsToAvoid(host, targets));
         unusable.addAll(wantedTargets);
         boolean waitsForFastTarget =
                 mWaitingItems.waitedNanos(host, now) < MAX_WAIT_FOR_FAST_TARGET_NANOS;
-        return new ItemTargets(
-                unusable, waitsForFastTarget ? MAX_BATCH_SLOWDOWN : Double.MAX_VALUE);
+        return new TargetChoice.ItemTargets(
+                unusable, TargetChoice.maxSlowdownOfItems(waitsForFastTarget));
     }
 
     private @Nullable Grant placeBatchItem(
-            String host, List<TargetInstance> targets, ItemTargets usableTargets, long now) {
-        Map<String, InFlightTable.Count> totals = mInFlight.totalsByTarget(now);
-        Map<String, Double> slowdowns = mSpeeds.slowdowns(targets);
-        boolean anySpeed = exceedsFastTargets(targets, slowdowns);
-        TargetInstance best = null;
-        double leastCost = Double.MAX_VALUE;
-        for (TargetInstance target : targets) {
-            InFlightTable.Count count =
-                    totals.getOrDefault(target.incarnation(), InFlightTable.Count.NONE);
-            int total = count.online() + count.batch();
-            boolean hasRoom =
-                    total < target.slotsForBatch(SLOTS_RESERVED_FOR_ONLINE)
-                            && mBuckets.mayStart(
-                                    target.incarnation(),
-                                    WHOLE_LIMIT,
-                                    TOKENS_RESERVED_FOR_ONLINE,
-                                    now);
-            double slowdown = slowdowns.getOrDefault(target.incarnation(), 1.0);
-            double cost = slowdown * (1 + (double) total / Math.max(1, target.slots()));
-            if (mLimits.isLimited(target.incarnation())) {
-                cost *= LIMITED_TARGET_ITEM_COST;
-            }
-            boolean usable = hasRoom && usableTargets.include(target, anySpeed ? 1 : slowdown);
-            if (usable && cost < leastCost) {
-                leastCost = cost;
-                best = target;
-            }
-        }
-        if (best == null) {
+            String host,
+            List<TargetInstance> targets,
+            TargetChoice.ItemTargets usableTargets,
+            long now) {
+        TargetInstance target = mChoice.forItem(usableTargets, targets, mWaitingItems.total(), now);
+        if (target == null) {
             return null;
         }
-        long number = mInFlight.recordGrant(host, best.incarnation(), true, now);
-        mBuckets.recordStart(best.incarnation());
-        return new Grant("", host, best, 0, "", number);
-    }
-
-    /** Returns whether more batch items wait than the faster targets have slots. */
-    private boolean exceedsFastTargets(
-            List<TargetInstance> targets, Map<String, Double> slowdowns) {
-        int slots = 0;
-        for (TargetInstance target : targets) {
-            boolean fast = slowdowns.getOrDefault(target.incarnation(), 1.0) <= MAX_BATCH_SLOWDOWN;
-            slots += fast ? target.slots() : 0;
-        }
-        return mWaitingItems.total() > slots;
+        long number = mInFlight.recordGrant(host, target.incarnation(), true, now);
+        mBuckets.recordStart(target.incarnation());
+        return new Grant("", host, target, 0, "", number);
     }
 
     /** Returns the number of grants that no report of their host contains yet. */
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/LoadModel.java
@@ -121,7 +121,8 @@
     private final Random mRandom;
     private final Settings mSettings;
     private final ItemRunTimes mRunTimes = new ItemRunTimes();
-    private final ServiceCoordinator mCoordinator = new ServiceCoordinator(new TargetRateLimits());
+    private final ServiceCoordinator mCoordinator =
+            new ServiceCoordinator(new TargetRateLimits(), new TargetPaces());
     private final List<Target> mTargets = new ArrayList<>();
     private final Map<String, Work> mWaitingRequests = new HashMap<>();
     private final List<Work> mWaitingItems = new ArrayList<>();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/OverloadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/OverloadTest.java
@@ -60,7 +60,8 @@
 
     private record Event(long atMs, int order, Runnable action) {}
 
-    private final ServiceCoordinator mCoordinator = new ServiceCoordinator(new TargetRateLimits());
+    private final ServiceCoordinator mCoordinator =
+            new ServiceCoordinator(new TargetRateLimits(), new TargetPaces());
     private final List<TargetInstance> mTargets = new ArrayList<>();
     private final int[] mRunning = new int[TARGETS];
     private final Map<String, Caller> mWaiting = new HashMap<>();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ServiceCoordinatorTest.java
@@ -24,7 +24,8 @@
     private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final int SLOTS = 4;
 
-    private final ServiceCoordinator mCoordinator = new ServiceCoordinator(new TargetRateLimits());
+    private final ServiceCoordinator mCoordinator =
+            new ServiceCoordinator(new TargetRateLimits(), new TargetPaces());
 
     private static List<TargetInstance> targets(int count) {
         List<TargetInstance> targets = new ArrayList<>();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/TargetLimitLoadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/TargetLimitLoadTest.java
@@ -31,7 +31,8 @@
     private record Running(String host, String target, boolean batch, long endsAtMs) {}
 
     private final TargetRateLimits mLimits = new TargetRateLimits();
-    private final ServiceCoordinator mCoordinator = new ServiceCoordinator(mLimits);
+    private final ServiceCoordinator mCoordinator =
+            new ServiceCoordinator(mLimits, new TargetPaces());
     private final List<TargetInstance> mTargets = new ArrayList<>();
     private final List<Running> mRunning = new ArrayList<>();
     private final Map<String, List<Long>> mStartsMs = new HashMap<>();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.call.CallPolicy;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -84,9 +85,15 @@
         return mCurrent == null ? null : mCurrent.mAttempt;
     }
 
-    /** Returns when the newest attempt started, a reading of the monotonic clock. */
-    long startedAt() {
-        return mCurrent == null ? 0 : mCurrent.mStartedAt;
+    /** Records that the newest attempt has brought the whole response. */
+    void recordServed(String service, String route, RequestSize size) {
+        Run run = mCurrent;
+        TargetAttempt attempt = current();
+        if (run != null && attempt != null) {
+            long sentNanos = mContext.ticker().nanoTime() - run.mStartedAt;
+            mContext.placementClient()
+                    .recordEnded(service, route, size, attempt.target(), sentNanos);
+        }
     }
 
     /** Returns the number of placements withdrawn; a placement asked for before is outdated. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -17,6 +17,7 @@
 import org.sesamepin.core.serving.TargetSoftware;
 import org.sesamepin.core.stream.Finding;
 import org.sesamepin.core.stream.TakeUp;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ResponseMemory;
@@ -38,6 +39,7 @@
     private final HttpServerResponse mResponse;
     private final CallHead mHead;
     private final Buffer mBody;
+    private final RequestSize mSize;
     private final ServingRoute mRoute;
     private final @Nullable String mCustomer;
     private final int mRank;
@@ -78,6 +80,7 @@
         mResponse = request.response();
         mHead = head;
         mBody = body;
+        mSize = context.protocol().requestSize(head.forwardedHeaders());
         mRoute = route;
         mCustomer = customer == null ? null : customer.name();
         Integer rank = customer == null ? null : customer.rank();
@@ -201,7 +204,9 @@
                         mRoute.latencyObjectiveMs(),
                         remainingMs,
                         Set.copyOf(mTriedTargets),
-                        mVersion);
+                        mVersion,
+                        mRoute.name(),
+                        mSize);
         int withdrawals = mAttempts.withdrawals();
         mContext.placementClient()
                 .place(request)
@@ -217,9 +222,7 @@
     private void onPlacement(PlacementResult placement, int withdrawals) {
         TargetInstance target = placement.target();
         if (mEnded || withdrawals != mAttempts.withdrawals()) {
-            if (target != null) {
-                mContext.placementClient().handledGrants().recordUnused();
-            }
+            mContext.placementClient().recordUnused(placement);
             return;
         }
         if (target == null) {
@@ -353,9 +356,7 @@
         }
         writeHeadOnce();
         mResponse.end();
-        mContext.placementClient()
-                .localCoordinator()
-                .recordServiceTime(mService, now() - mAttempts.startedAt());
+        mAttempts.recordServed(mService, mRoute.name(), mSize);
         finish("served", "events=" + mLastEventId);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/FleetProtocol.java
@@ -7,6 +7,7 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingConfig;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
 
@@ -55,6 +56,11 @@
     /** Reads which shared parts the prompt of a request has, from the request's headers. */
     PromptParts promptParts(MultiMap headers);
 
+    /** Reads which tokens a request declares, from the request's headers. */
+    default RequestSize requestSize(MultiMap headers) {
+        return RequestSize.NONE;
+    }
+
     /** Sends an error of this host to a caller. */
     void sendProblem(HttpServerResponse response, Problem problem, String requestId);
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/LoadTable.java
@@ -2,17 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetLoad;
+import org.sesamepin.core.target.TargetPaces;
 import org.sesamepin.core.target.TargetRateLimits;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.generated.HostReport;
 import org.sesamepin.node.peer.generated.InFlight;
 import org.sesamepin.node.peer.generated.TargetLimit;
+import org.sesamepin.node.peer.generated.TargetPace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +35,9 @@
     private final Ticker mTicker;
     private final Map<String, TargetLoad> mLoads = new HashMap<>();
     private final TargetRateLimits mLimits = new TargetRateLimits();
+    private final TargetPaces mPaces = new TargetPaces();
+    private final TargetPaces mOwnPaces = new TargetPaces();
+    private final Set<String> mUnreadablePaces = new HashSet<>();
     private final Map<String, Report> mReports = new HashMap<>();
     private Runnable mEndListener = () -> {};
     private boolean mSumsOutdated;
@@ -84,6 +90,54 @@
         }
     }
 
+    /** Returns how long work takes at targets now, as they named it to this host or to a peer. */
+    public TargetPaces paces() {
+        return mPaces;
+    }
+
+    /**
+     * Records how long an answer of {@code target} says that work takes there now. One that cannot
+     * be read is logged once for each incarnation, and counts as none.
+     *
+     * @param pace time relative to the usual time; {@link TargetPaces#NONE} when it named none
+     */
+    void recordPace(TargetInstance target, double pace) {
+        String incarnation = target.incarnation();
+        long now = mTicker.nanoTime();
+        mOwnPaces.observe(incarnation, pace, now);
+        mPaces.observe(incarnation, pace, now);
+        if (pace <= 0 && mUnreadablePaces.add(incarnation)) {
+            LOG.warn("step=target-load target={} outcome=unreadable", incarnation);
+        }
+    }
+
+    /** Returns the targets whose answers to this host lately named how long work takes there. */
+    List<TargetPace> pacesForReport() {
+        long now = mTicker.nanoTime();
+        List<TargetPace> paces = new ArrayList<>();
+        mOwnPaces
+                .observations(now)
+                .forEach(
+                        (target, seen) -> {
+                            long ageMs = TimeUnit.NANOSECONDS.toMillis(now - seen.observedAt());
+                            paces.add(new TargetPace(target, seen.factor(), ageMs));
+                        });
+        return paces;
+    }
+
+    private void adoptPaces(List<TargetPace> paces) {
+        long now = mTicker.nanoTime();
+        for (TargetPace pace : paces) {
+            long observedAt = now - TimeUnit.MILLISECONDS.toNanos(pace.getAgeMs());
+            mPaces.observe(pace.getTarget(), pace.getFactor(), observedAt);
+        }
+    }
+
+    /** Returns the number of targets that have lately named how long work takes there. */
+    int targetsWithPace() {
+        return mPaces.observations(mTicker.nanoTime()).size();
+    }
+
     /** Returns the limits for this host's reports. */
     List<TargetLimit> limitsForReport() {
         long now = mTicker.nanoTime();
@@ -110,6 +164,9 @@
         if (report.isSetTargetLimits()) {
             adoptLimits(report.getTargetLimits());
         }
+        if (report.isSetTargetLoads()) {
+            adoptPaces(report.getTargetLoads());
+        }
         mReports.put(report.getHost(), new Report(mTicker.nanoTime(), report.getInFlight()));
         mSumsOutdated = true;
     }
@@ -192,6 +249,9 @@
      */
     public void retainRegistered(ServingState state) {
         mLimits.retain(target -> isRegistered(state, target));
+        mPaces.retain(target -> isRegistered(state, target));
+        mOwnPaces.retain(target -> isRegistered(state, target));
+        mUnreadablePaces.removeIf(target -> !isRegistered(state, target));
         mLoads.entrySet()
                 .removeIf(
                         entry -> {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -10,7 +10,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.core.target.TargetPaces;
 import org.sesamepin.core.target.TargetRateLimits;
 import org.sesamepin.core.target.TargetSelector;
 import org.sesamepin.core.time.Ticker;
@@ -47,6 +49,7 @@
     private final PeerClient mPeerClient;
     private final BatchWork mBatchWork;
     private final CoordinatorLookup mCoordinatorLookup;
+    private final EndedRequests mEndedRequests = new EndedRequests();
     private final HandledGrants mHandledGrants;
     private final PlacementCoordinator mLocalCoordinator;
     private final LocalPlacement mLocalPlacement;
@@ -64,7 +67,8 @@
             TargetSelector targetSelector,
             ServingMetrics metrics,
             BatchWork batchWork,
-            TargetRateLimits limits) {
+            TargetRateLimits limits,
+            TargetPaces paces) {
         mVertx = vertx;
         mTicker = ticker;
         mState = state;
@@ -83,7 +87,8 @@
                         metrics,
                         batchWork,
                         mCoordinatorLookup,
-                        limits);
+                        limits,
+                        paces);
         mLocalPlacement =
                 new LocalPlacement(
                         ticker,
@@ -119,6 +124,26 @@
         return mHandledGrants;
     }
 
+    /**
+     * Records an online request of this host that has ended with a whole response.
+     *
+     * @param sentNanos time from being sent to its end, nanoseconds
+     */
+    void recordEnded(
+            String service, String route, RequestSize size, TargetInstance target, long sentNanos) {
+        mLocalCoordinator.recordServiceTime(service, sentNanos);
+        if (size.isDeclared()) {
+            mEndedRequests.record(service, route, size, target, sentNanos);
+        }
+    }
+
+    /** Records that no request starts with a placement. */
+    void recordUnused(PlacementResult placement) {
+        if (placement.target() != null) {
+            mHandledGrants.recordUnused();
+        }
+    }
+
     /** Places an online request; the result has no target when the request is rejected. */
     Future<PlacementResult> place(PlacementRequest request) {
         String coordinator = mCoordinatorLookup.coordinatorOf(request.service());
@@ -173,6 +198,12 @@
                         request.remainingMs(),
                         List.copyOf(excluded));
         message.setVersion(request.version());
+        if (request.size().isDeclared()) {
+            message.setRoute(request.route())
+                    .setPromptTokens(request.size().promptTokens())
+                    .setMaxOutputTokens(request.size().maxOutputTokens());
+        }
+        mEndedRequests.addTo(message);
         return message;
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementCoordinator.java
@@ -13,11 +13,14 @@
 import org.sesamepin.core.serving.ServiceSpec;
 import org.sesamepin.core.target.GrantReceipt;
 import org.sesamepin.core.target.ReportStamp;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.ServiceCoordinator;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.core.target.TargetPaces;
 import org.sesamepin.core.target.TargetRateLimits;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.peer.generated.EndedRequest;
 import org.sesamepin.node.peer.generated.HostReport;
 import org.sesamepin.node.peer.generated.InFlight;
 import org.sesamepin.node.peer.generated.PeerRequest;
@@ -47,6 +50,7 @@
     private final BatchWork mBatchWork;
     private final CoordinatorLookup mCoordinatorLookup;
     private final TargetRateLimits mLimits;
+    private final TargetPaces mPaces;
     private final Map<String, ServiceCoordinator> mCoordinators = new HashMap<>();
 
     /** Tells the grants of this process from those of a former one of the same host. */
@@ -63,7 +67,8 @@
             ServingMetrics metrics,
             BatchWork batchWork,
             CoordinatorLookup coordinatorLookup,
-            TargetRateLimits limits) {
+            TargetRateLimits limits,
+            TargetPaces paces) {
         mVertx = vertx;
         mTicker = ticker;
         mState = state;
@@ -73,6 +78,7 @@
         mBatchWork = batchWork;
         mCoordinatorLookup = coordinatorLookup;
         mLimits = limits;
+        mPaces = paces;
     }
 
     /**
@@ -87,8 +93,11 @@
 
     /** Handles the placement request of a host, which may be this host itself. */
     PlaceAnswer handleRequest(PlaceAsk message) {
-        ServiceCoordinator.Reply reply =
-                requestPlacement(decode(message), message.getServiceName());
+        String service = message.getServiceName();
+        if (message.isSetEnded()) {
+            message.getEnded().forEach(ended -> recordEnded(service, ended));
+        }
+        ServiceCoordinator.Reply reply = requestPlacement(decode(message), service);
         ServiceCoordinator.Grant grant = reply.grant();
         if (grant != null) {
             return new PlaceAnswer(PlaceOutcome.GRANTED, grant.target().id(), grant.occupancy(), 0)
@@ -110,7 +119,9 @@
                 TimeUnit.MILLISECONDS.toNanos(message.getLatencyMs()),
                 mTicker.nanoTime() + remainingNanos,
                 new HashSet<>(message.getExcluded()),
-                message.isSetVersion() ? message.getVersion() : null);
+                message.isSetVersion() ? message.getVersion() : null,
+                message.isSetRoute() ? message.getRoute() : "",
+                new RequestSize(message.getPromptTokens(), message.getMaxOutputTokens()));
     }
 
     /** Returns the number of grants that no report of their host contains yet. */
@@ -141,7 +152,8 @@
     }
 
     private ServiceCoordinator coordinatorFor(String service) {
-        return mCoordinators.computeIfAbsent(service, name -> new ServiceCoordinator(mLimits));
+        return mCoordinators.computeIfAbsent(
+                service, name -> new ServiceCoordinator(mLimits, mPaces));
     }
 
     private void suspendItemFor(ServiceCoordinator.Grant grant) {
@@ -228,6 +240,17 @@
         coordinatorFor(service).recordServiceTime(nanos);
     }
 
+    /** Records a request of {@code service} that has ended at any host. */
+    void recordEnded(String service, EndedRequest ended) {
+        coordinatorFor(service)
+                .recordEnded(
+                        ended.getRoute(),
+                        new RequestSize(ended.getPromptTokens(), ended.getMaxOutputTokens()),
+                        ended.getTarget(),
+                        ended.getElapsedMs(),
+                        mState.targets().readyTargets(service));
+    }
+
     private void grantAllWaiting() {
         for (ServiceSpec spec : mState.config().services()) {
             if (mCoordinatorLookup.isCoordinatedHere(spec.name())) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
 
 /**
@@ -18,6 +19,8 @@
  * @param excluded incarnations of the targets to which it was already sent
  * @param version software version of the targets on which it may be placed, because it continues a
  *     stream that began there; null for any
+ * @param route name of the route
+ * @param size tokens that it declares
  */
 record PlacementRequest(
         String id,
@@ -27,7 +30,32 @@
         long latencyObjectiveMs,
         long remainingMs,
         Set<String> excluded,
-        @Nullable String version) {
+        @Nullable String version,
+        String route,
+        RequestSize size) {
+    /** Creates a request that declares no tokens. */
+    PlacementRequest(
+            String id,
+            String service,
+            int rank,
+            boolean isRetry,
+            long latencyObjectiveMs,
+            long remainingMs,
+            Set<String> excluded,
+            @Nullable String version) {
+        this(
+                id,
+                service,
+                rank,
+                isRetry,
+                latencyObjectiveMs,
+                remainingMs,
+                excluded,
+                version,
+                "",
+                RequestSize.NONE);
+    }
+
     /** Returns whether the version of {@code target} is one on which this may be placed. */
     boolean mayRunAt(TargetInstance target) {
         return version == null || version.equals(target.version());
@@ -49,6 +77,8 @@
                 latencyObjectiveMs,
                 Math.max(0, remainingMs - waitedMs),
                 allExcluded,
-                version);
+                version,
+                route,
+                size);
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -20,6 +20,7 @@
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.TargetLimit;
+import org.sesamepin.node.peer.generated.TargetPace;
 import org.sesamepin.node.prompt.PromptGuard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -186,6 +187,10 @@
         if (!limits.isEmpty()) {
             report.setTargetLimits(limits);
         }
+        List<TargetPace> paces = mLoads.pacesForReport();
+        if (!paces.isEmpty()) {
+            report.setTargetLoads(paces);
+        }
         mConfigVerifier.addTo(report);
         return report;
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingNode.java
@@ -231,7 +231,8 @@
                 targetSelector,
                 mMetrics,
                 new DeferredBatchWork(() -> mJobRunner),
-                mLoads.limits());
+                mLoads.limits(),
+                mLoads.paces());
     }
 
     private ServingContext newContext() {
@@ -410,6 +411,10 @@
                 "sesamepin_targets",
                 "Registered targets.",
                 () -> mState.targets().targetsById().size());
+        mMetrics.gauge(
+                "sesamepin_target_loads",
+                "Targets that have lately named how long work takes there.",
+                mLoads::targetsWithPace);
         mMetrics.gauge("sesamepin_peers", "Peers heard lately.", () -> mPeers.reachable().size());
         mMetrics.gauge(
                 "sesamepin_store_reachable",
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -239,6 +239,7 @@
         }
         if (head.status() != MISDIRECTED) {
             mContext.loads().recordLimit(mTarget, head.requestLimitPerS());
+            mContext.loads().recordPace(mTarget, head.pace());
             recordLeaving(head);
         }
         if (head.notExecuted() || head.status() == MISDIRECTED) {
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -267,6 +267,15 @@
   4: set<i64> beyond
 }
 
+// What the newest answer of a target to the reporting host said about its speed.
+struct TargetPace {
+  // Incarnation of the target.
+  1: string target
+  // Time that work takes there, relative to the usual time.
+  2: double factor
+  3: i64 ageMs
+}
+
 // What a host tells each peer several times a second, and is told in the reply.
 struct HostReport {
   1: string host
@@ -297,6 +306,8 @@
   15: optional i64 sequence
   // Grants of the last seconds, by service and coordinator; not set by hosts of older versions.
   16: optional list<GrantReceipt> grantReceipts
+  // Targets that have lately named how long work takes there; not set when there are none.
+  19: optional list<TargetPace> targetLoads
 }
 
 // Asks a peer for the configuration in force there.
@@ -311,6 +322,17 @@
   3: i64 revision
 }
 
+// A request of the service that has ended with a whole response.
+struct EndedRequest {
+  1: string route
+  2: i32 promptTokens
+  3: i32 maxOutputTokens
+  // Incarnation of the target.
+  4: string target
+  // Time from being sent to its end, milliseconds.
+  5: i64 elapsedMs
+}
+
 // Asks the coordinator of a service for a target.
 struct PlaceAsk {
   1: string requestId
@@ -324,6 +346,12 @@
   8: list<string> excluded
   // Software version of the targets that may be granted; absent for any.
   9: optional string version
+  // Tokens that the request declares, and its route; not set when it declares none.
+  10: optional i32 promptTokens
+  11: optional i32 maxOutputTokens
+  12: optional string route
+  // Requests that declared their tokens and have ended since the host's last one of these messages.
+  13: optional list<EndedRequest> ended
 }
 
 enum PlaceOutcome {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -57,7 +57,8 @@
                         targetSelector,
                         metrics,
                         new NoBatchWork(),
-                        loads.limits());
+                        loads.limits(),
+                        loads.paces());
         mContext =
                 new ServingContext(
                         vertx,
