--- a/sesamepin-core/src/main/java/org/sesamepin/core/check/ServingOutline.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/check/ServingOutline.java
@@ -165,8 +165,13 @@
                 new ConfigEntry(
                         "service " + service.name(),
                         0,
-                        Map.of("slots", String.valueOf(service.slots())));
+                        Map.of(
+                                "slots", String.valueOf(service.slots()),
+                                "coldStartMs", String.valueOf(service.coldStartMs()),
+                                "coldPerS", String.valueOf(service.coldPerS())));
         mMinimums.add(new Minimum(entry, "slots", service.slots(), 0));
+        mMinimums.add(new Minimum(entry, "coldStartMs", service.coldStartMs(), 0));
+        mMinimums.add(new Minimum(entry, "coldPerS", service.coldPerS(), 0));
         return new ConfigOutline.Service(entry, service.name(), true);
     }
 }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/target/ColdTargetLoadTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/target/ColdTargetLoadTest.java
@@ -58,7 +58,7 @@
             TargetRateLimits limits = new TargetRateLimits(cold);
             mCold.add(cold);
             mLimits.add(limits);
-            mCoordinators.add(new ServiceCoordinator(limits));
+            mCoordinators.add(new ServiceCoordinator(limits, new TargetPaces()));
         }
     }
 
