Choose a target locally when the coordinator's answer is unknown

An outcome of a placement that only a later build knows is decoded as null, and a reply of another kind has no answer at all. The host now chooses itself, as without a coordinator, and the decider is `unknown-outcome`.

VersionedPlacementTest#outcomeOfAnotherBuildIsNoDecision failed before with a NullPointerException, the new #replyOfAnotherKindIsNoDecision with "Cannot get field 'placeAnswer'".

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -141,7 +141,9 @@
                             if (reply.succeeded()) {
                                 mCoordinatorLookup.recordAnswer(peer);
                                 return handleReply(
-                                        request, reply.result().getPlaceAnswer(), peer.name());
+                                        request,
+                                        PlacementMessages.answerIn(reply.result()),
+                                        peer.name());
                             }
                             mCoordinatorLookup.recordNoAnswer(peer, sentAt, reply.cause());
                             return Future.succeededFuture(placeLocally(request, "no-coordinator"));
@@ -174,6 +176,9 @@
 
     private Future<PlacementResult> handleReply(
             PlacementRequest request, PlaceAnswer reply, String decider) {
+        if (!reply.isSetOutcome()) {
+            return Future.succeededFuture(placeLocally(request, "unknown-outcome"));
+        }
         return switch (reply.getOutcome()) {
             case GRANTED -> {
                 TargetInstance target = readyTarget(reply.getTargetId());
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/VersionedPlacementTest.java
@@ -17,7 +17,6 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sesamepin.core.serving.ConnectionLimits;
 import org.sesamepin.core.serving.ServiceSpec;
@@ -26,6 +25,7 @@
 import org.sesamepin.core.target.TargetState;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.PeerServer;
+import org.sesamepin.node.peer.generated.Done;
 import org.sesamepin.node.peer.generated.PeerReply;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.PlaceAnswer;
@@ -41,6 +41,7 @@
     private final ServingFixture mFixture = new ServingFixture(mVertx);
     private PeerServer mCoordinator;
     private String mService;
+    private volatile boolean mRepliesOtherwise;
     private PlaceAnswer mAnswer = new PlaceAnswer(PlaceOutcome.QUEUED, "", 0, 0);
 
     @BeforeEach
@@ -48,8 +49,7 @@
         InetSocketAddress address = FreePorts.address();
         mCoordinator = new PeerServer(mVertx, address);
         mCoordinator.registerHandler(
-                PeerRequest._Fields.PLACE_ASK,
-                request -> Future.succeededFuture(PeerReply.placeAnswer(mAnswer)));
+                PeerRequest._Fields.PLACE_ASK, request -> Future.succeededFuture(reply()));
         await(mCoordinator::start);
         List<ServiceSpec> services =
                 IntStream.range(0, SERVICES).mapToObj(i -> new ServiceSpec("s" + i, 8)).toList();
@@ -69,6 +69,10 @@
         setTargets("old", "new");
     }
 
+    private PeerReply reply() {
+        return mRepliesOtherwise ? PeerReply.done(new Done()) : PeerReply.placeAnswer(mAnswer);
+    }
+
     @AfterEach
     void close() throws Exception {
         mFixture.close();
@@ -165,7 +169,6 @@
     }
 
     /** Guards against requests that fail since the coordinator's build knows further outcomes. */
-    @Tag("known-red")
     @Test
     void outcomeOfAnotherBuildIsNoDecision() throws Exception {
         mAnswer = new PlaceAnswer(PlaceOutcome.REFUSED, "", 0, 0);
@@ -174,4 +177,16 @@
         mFixture.peers().recordContact("other", true);
         assertNotNull(await(() -> place(null)).target());
     }
+
+    /** Guards against requests that fail since the coordinator's build replies in another way. */
+    @Test
+    void replyOfAnotherKindIsNoDecision() throws Exception {
+        mAnswer = new PlaceAnswer(PlaceOutcome.REFUSED, "", 0, 0);
+        awaitCoordinator();
+        mRepliesOtherwise = true;
+        mFixture.peers().recordContact("other", true);
+        PlacementResult result = await(() -> place(null));
+        assertNotNull(result.target());
+        assertEquals("unknown-outcome", result.decider());
+    }
 }
