--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -186,7 +186,9 @@
                             if (reply.succeeded()) {
                                 mCoordinatorLookup.recordAnswer(peer);
                                 return handleReply(
-                                        request, reply.result().getPlaceAnswer(), peer.name());
+                                        request,
+                                        PlacementMessages.answerIn(reply.result()),
+                                        peer.name());
                             }
                             mCoordinatorLookup.recordNoAnswer(peer, sentAt, reply.cause());
                             return Future.succeededFuture(
@@ -226,6 +228,9 @@
 
     private Future<PlacementResult> handleReply(
             PlacementRequest request, PlaceAnswer reply, String decider) {
+        if (!reply.isSetOutcome()) {
+            return Future.succeededFuture(placeLocally(request, "unknown-outcome"));
+        }
         return switch (reply.getOutcome()) {
             case GRANTED -> {
                 if (!mHandledGrants.record(request.id(), request.service(), reply)) {
