Take no answer that was cut short, or has no status, as whole

An answer without a length ends with its connection. The decoder took any end of the connection for that, also one by a failed write while the request was still being sent: callers got the part received as a complete 200. Now the end counts only when the request was sent whole and the connection did not fail. The product's API also forwarded the status 000, and stored it as the result of a batch item; it now has the check that the platform's way had.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -302,8 +302,10 @@
                 .compose(
                         response ->
                                 protocol.isResponseTo(
-                                                requestId,
-                                                response.getHeader(TargetHeaders.REQUEST_ID))
+                                                        requestId,
+                                                        response.getHeader(
+                                                                TargetHeaders.REQUEST_ID))
+                                                && ResponseBody.hasFinalStatus(response)
                                         ? ResponseBody.read(
                                                         response, mTargetClient.responseMemory())
                                                 .map(
@@ -312,7 +314,7 @@
                                                                         response.statusCode(),
                                                                         body.getBytes()))
                                         : Future.failedFuture(
-                                                "the response belongs to another request"))
+                                                "the response is not an answer to the request"))
                 .timeout(timeoutMs, TimeUnit.MILLISECONDS);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ClientCodec.java
@@ -60,6 +60,11 @@
     /** Method of the request whose response is not complete; null when there is none. */
     private @Nullable HttpMethod mAwaited;
 
+    /** Whether the awaited request was sent whole, as far as this host can tell. */
+    private boolean mRequestSent;
+
+    private boolean mFailed;
+
     private volatile boolean mUnusable;
     private volatile String mTarget = "-";
     private volatile String mRequestId = "-";
@@ -151,8 +156,30 @@
             throws Exception {
         if (msg instanceof HttpRequest request) {
             mAwaited = request.method();
+            mRequestSent = false;
+        }
+        if (!(msg instanceof LastHttpContent)) {
+            super.write(ctx, msg, promise);
+            return;
         }
-        super.write(ctx, msg, promise);
+        ChannelPromise written = promise.unvoid();
+        written.addListener(done -> mRequestSent = done.isSuccess());
+        super.write(ctx, msg, written);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+        mFailed = true;
+        super.exceptionCaught(ctx, cause);
+    }
+
+    /**
+     * Returns whether the end of the connection may be the end of a response that has no length.
+     * The target has not answered the request when it closed the connection before it had all of
+     * it, and a reset connection may have lost the rest of the response.
+     */
+    private boolean isRegularEnd() {
+        return mRequestSent && !mFailed;
     }
 
     private final class Decoder extends HttpResponseDecoder {
@@ -282,13 +309,13 @@
         @Override
         protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
                 throws Exception {
-            if (!mUnusable && mInFinalResponse) {
+            if (!mUnusable && mInFinalResponse && isRegularEnd()) {
                 super.decodeLast(ctx, in, out);
                 return;
             }
             in.skipBytes(in.readableBytes());
             if (!mUnusable && mInMessage) {
-                log("ended", "within the head of a response");
+                log("ended", "within a response");
             }
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseBody.java
@@ -20,12 +20,24 @@
     private static final int MAX_DISCARDED_BYTES = 64 << 10;
 
     private static final long DISCARD_TIMEOUT_MS = 1_000;
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 999;
 
     /** Statuses of responses that have no body: no content, not modified. */
     private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
 
     private ResponseBody() {}
 
+    /**
+     * Returns whether a caller can read the status of a response as that of the answer to its
+     * request: after a status below 200 it waits for another one, and a status line needs three
+     * digits.
+     */
+    public static boolean hasFinalStatus(HttpClientResponse response) {
+        int status = response.statusCode();
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     /** Returns whether the end of a response is told by more than the end of its connection. */
     public static boolean isFramed(HttpClientResponse response) {
         return response.getHeader(HttpHeaders.CONTENT_LENGTH) != null
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -222,7 +222,8 @@
                     responseFailure(lease, "the response belongs to another request"));
             return;
         }
-        if (response.statusCode() >= MIN_SERVER_ERROR_STATUS) {
+        if (response.statusCode() >= MIN_SERVER_ERROR_STATUS
+                || !ResponseBody.hasFinalStatus(response)) {
             onAttemptFailed(
                     attempt, lease, responseFailure(lease, "status " + response.statusCode()));
             return;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ServiceRequest.java
@@ -169,6 +169,10 @@
         if (!protocol.isResponseTo(mRequestId, response.getHeader(TargetHeaders.REQUEST_ID))) {
             return Future.failedFuture("the response belongs to another request");
         }
+        if (!ResponseBody.hasFinalStatus(response)) {
+            String status = "status " + response.statusCode() + " is not that of an answer";
+            return Future.failedFuture(status);
+        }
         return ResponseBody.read(response, mOnlineContext.targetClient().responseMemory())
                 .map(body -> new WholeResponse(response, body));
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -59,8 +59,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(TargetAttempt.class);
     private static final int MISDIRECTED = 421;
-    private static final int MIN_FINAL_STATUS = 200;
-    private static final int MAX_STATUS = 999;
 
     /**
      * Statuses that a caller reads as "the request did not run". Without the target's own statement
@@ -224,7 +222,7 @@
         mIdleTimeout.recordProgress();
         response.exceptionHandler(
                 e -> endDisconnected("response was interrupted: " + e.getMessage()));
-        if (!isFinalStatus(response.statusCode())) {
+        if (!ResponseBody.hasFinalStatus(response)) {
             endInterrupted("status " + response.statusCode() + " is not that of an answer");
             return;
         }
@@ -271,11 +269,6 @@
         }
     }
 
-    /** Returns whether a caller can read {@code status} as that of the answer to its request. */
-    private static boolean isFinalStatus(int status) {
-        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
-    }
-
     private void recordLeaving(ResponseHead head) {
         if (head.leaving() && mContext.state().recordLeaving(mTarget)) {
             LOG.info(
