--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/PlacementClient.java
@@ -229,7 +229,7 @@
     private Future<PlacementResult> handleReply(
             PlacementRequest request, PlaceAnswer reply, String decider) {
         if (!reply.isSetOutcome()) {
-            return Future.succeededFuture(placeLocally(request, "unknown-outcome"));
+            return Future.succeededFuture(mLocalPlacement.place(request, "unknown-outcome"));
         }
         return switch (reply.getOutcome()) {
             case GRANTED -> {
