Answer reports of ended requests in large fleets with an acknowledgement

Cause: a host reports to the coordinators some 12 ms after each end of a request, up to 80 times a second, and each report was answered with a whole report of the coordinator, which the periodic reports bring twice a second anyway. Change: in a large fleet these reports say that they need no reply, and get an acknowledgement. Hosts of older builds answer as before.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ReportExchange.java
@@ -14,6 +14,7 @@
 import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.peer.PeerClient;
+import org.sesamepin.node.peer.generated.Done;
 import org.sesamepin.node.peer.generated.HostReport;
 import org.sesamepin.node.peer.generated.InFlight;
 import org.sesamepin.node.peer.generated.ItemRunTime;
@@ -119,6 +120,10 @@
         mUrgentReportScheduled = false;
         HostReport report = newReport(mLoads.ownInFlight(), Map.of());
         mPlacementClient.localCoordinator().recordReport(report);
+        // In a large fleet the replies to these reports would cost a coordinator more than they.
+        if (mPeers.isLargeFleet()) {
+            report.setNoReply(true);
+        }
         PeerRequest request = PeerRequest.report(report);
         for (PeerTable.Peer peer : mPlacementClient.coordinatingPeers()) {
             send(peer, request);
@@ -128,10 +133,16 @@
     private void send(PeerTable.Peer peer, PeerRequest request) {
         mPeerClient
                 .call(peer.address(), request, REPORT_TIMEOUT_MS)
-                .onSuccess(reply -> recordReport(reply.getReport()))
+                .onSuccess(this::onReply)
                 .onFailure(e -> recordNoReply(peer, e));
     }
 
+    private void onReply(PeerReply reply) {
+        if (reply.isSet(PeerReply._Fields.REPORT)) {
+            recordReport(reply.getReport());
+        }
+    }
+
     private void reportIfDue() {
         List<InFlight> inFlight = mLoads.ownInFlight();
         long now = mTicker.nanoTime();
@@ -197,9 +208,12 @@
         return List.copyOf(avoided);
     }
 
-    /** Records a peer's report and replies with this host's own. */
+    /** Records a peer's report and replies with this host's own if the peer needs one. */
     public PeerReply handleReport(HostReport report) {
         recordReport(report);
+        if (report.isNoReply()) {
+            return PeerReply.done(new Done());
+        }
         HostReport reply = newReport(mLoads.ownInFlight(), Map.of());
         if (report.isSetItemRunTimes()) {
             reply.setItemRunTimes(itemRunTimes());
--- a/sesamepin-node/src/main/thrift/peer.thrift
+++ b/sesamepin-node/src/main/thrift/peer.thrift
@@ -316,6 +316,8 @@
   // Time until targets are warm that may have become cold while they got no requests, as the host
   // has found out itself, milliseconds, by incarnation; not set when there are none.
   20: optional map<string, i64> coldLeftMs
+  // Set when the sender needs no report in reply; hosts of older versions send one all the same.
+  21: optional bool noReply
 }
 
 // Asks a peer for the configuration in force there.
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ServingFixture.java
@@ -110,7 +110,8 @@
         mPeerClient.close();
     }
 
-    private static final class NoBatchWork implements BatchWork {
+    /** Batch work of a host without jobs. */
+    static final class NoBatchWork implements BatchWork {
         @Override
         public boolean suspendOne(TargetInstance target) {
             return false;
