--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EvacuatedDomainTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EvacuatedDomainTest.java
@@ -102,6 +102,14 @@
         }
     }
 
+    private static long retryAfterMs(LoopbackFleet fleet, int node) throws Exception {
+        PlacementRequest request =
+                new PlacementRequest(
+                        "p" + node, StandInTargets.SERVICE, 0, false, 300, 5_000, Set.of(), null);
+        PlacementClient client = fleet.node(node).context().placementClient();
+        return fleet.onLoop(() -> client.place(request)).retryAfterMs();
+    }
+
     private static int arrivals(LoopbackFleet fleet) throws Exception {
         return onLoop(fleet, () -> fleet.targets().arrivalsIn(EVACUATED));
     }
@@ -197,6 +205,7 @@
                 long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
                 assertEquals("no-target", problem);
                 assertTrue(ms < 1_000, "refused after " + ms + " ms");
+                assertTrue(retryAfterMs(fleet, node) > 0, "no time for a retry");
             }
             assertNothingArrives(fleet);
             takeBack(fleet);
