Keep a stopping host out of rate groups that change

A host that stops made new rate groups when the number of hosts crossed a bound, and could lead one of them. It now stays stopped in the new groups.

A test bounds the requests inside the rate that are refused after a lost leader returns by 1 in 1,000.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/GroupRates.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/GroupRates.java
@@ -69,12 +69,14 @@
 
     private void updateMembers(long now) {
         boolean isRegrouped = !mMembersByGroup.keySet().containsAll(mGroups.groups());
+        boolean isStopping = false;
         long lentUntil = now;
         if (isRegrouped) {
             for (RateGroupMember member : mMembersByGroup.values()) {
                 long until = member.lentUntil(now);
                 lentUntil = until - lentUntil > 0 ? until : lentUntil;
             }
+            isStopping = mMembersByGroup.values().stream().anyMatch(RateGroupMember::isStopping);
             mMembersByGroup.clear();
         }
         for (String group : mGroups.groups()) {
@@ -85,6 +87,9 @@
             }
             member.setHolders(mGroups.holdersOf(group), now);
             member.blockOwnShare(lentUntil, now);
+            if (isStopping) {
+                member.stop(now);
+            }
         }
     }
 
--- a/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateFleetTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateFleetTest.java
@@ -184,6 +184,34 @@
         }
     }
 
+    /** The leader in between must hand over at once, not when its delegations have expired. */
+    @Test
+    void returnOfALeaderRefusesFewRequestsInsideTheRate() {
+        int refused = 0;
+        int total = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            RateFleet fleet = new RateFleet(random);
+            List<RateWorkload.Arrival> arrivals =
+                    RateWorkload.insideRate(
+                            RateWorkload.arrivals(0.45, 2 * SECOND, 20 * SECOND, random),
+                            2 * SECOND);
+            String leader = fleet.holders().get(0);
+            int[] refusedBefore = new int[1];
+            fleet.after(5 * SECOND, () -> fleet.lose(leader));
+            fleet.after(
+                    12 * SECOND,
+                    () -> {
+                        refusedBefore[0] = fleet.refused();
+                        fleet.restart(leader);
+                    });
+            fleet.play(arrivals, 21 * SECOND);
+            refused += fleet.refused() - refusedBefore[0];
+            total += arrivals.size();
+        }
+        assertTrue(refused < total / 1_000.0, refused + " of " + total);
+    }
+
     /** A lost leader costs its customers the time until its delegations have expired. */
     @Test
     void lostLeaderRefusesForALittleOverASecond() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateGroupsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/RateGroupsTest.java
@@ -79,6 +79,19 @@
         assertFalse(rates.members().containsKey("rate-group-0-of-1"));
     }
 
+    /** A process that is about to stop must not lead the groups that a late registration makes. */
+    @Test
+    void stoppingProcessStaysStoppedWhenTheGroupsChange() {
+        GroupRates rates = new GroupRates("h0", 0);
+        rates.update(uniformFleet(95), List.of(CUSTOMER), 0);
+        rates.members().values().forEach(member -> member.stop(0));
+        rates.update(uniformFleet(96), List.of(CUSTOMER), MS);
+        for (RateGroupMember member : rates.members().values()) {
+            assertTrue(member.isStopping());
+            assertEquals(0, member.fraction(MS));
+        }
+    }
+
     /** A notice that arrives late must not free a share that was delegated again meanwhile. */
     @Test
     void oldReleaseDoesNotFreeAShareThatIsDelegatedAnew() {
