--- a/sesamepin-core/src/main/java/org/sesamepin/core/config/SectionSchema.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/config/SectionSchema.java
@@ -6,7 +6,7 @@
  * Describes which properties a section of one type may have.
  *
  * @param type first word of the section header, for example {@code customer}
- * @param named whether a name follows the type, as in {@code [customer arrieros-sur]}
+ * @param named whether a name follows the type, as in {@code [customer example]}
  * @param properties the allowed properties; empty if the section may have any key
  */
 public record SectionSchema(String type, boolean named, List<PropertyDescriptor<?>> properties) {
