Release what an evicted connection keeps at once

Callers saw: the process ended (OutOfMemoryError: Java heap space) under 400 clients that each sent a body of one chunk and 3,900 short lines behind the last chunk, without an end; 220 and 215 of them had got 503.

Cause: the budget counts an evicted connection's memory as free, but its decoder kept the lines until the connection was closed, up to a second later. Only the headers in front of the body were cleared.

The decoder is taken out of the pipeline when its connection is evicted, and nothing else refers to it, so whatever it has read is free: lines, pieces of lines, undecoded buffers. The handler in its place discards what still arrives and closes the connection after a second.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/RequestMemory.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/RequestMemory.java
@@ -64,7 +64,7 @@
     /** One connection of a caller. */
     public final class Connection {
         private final String mAddress;
-        private final Runnable mOnEvicted;
+        private Runnable mOnEvicted;
         private final long mNumber;
         private final Deque<Long> mUnansweredBytes = new ArrayDeque<>();
         private long mReadBytes;
@@ -125,6 +125,13 @@
             remove(this);
         }
 
+        /** Ends the connection, and releases what its owner keeps through the action. */
+        private void runOnEvicted() {
+            Runnable onEvicted = mOnEvicted;
+            mOnEvicted = () -> {};
+            onEvicted.run();
+        }
+
         private boolean isIdle() {
             return !mIsReading && mUnansweredBytes.isEmpty();
         }
@@ -186,7 +193,7 @@
     }
 
     private static void runAll(List<Connection> evicted) {
-        evicted.forEach(connection -> connection.mOnEvicted.run());
+        evicted.forEach(Connection::runOnEvicted);
     }
 
     private synchronized List<Connection> read(
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -47,9 +47,6 @@
      */
     private static final long HEADER_LINE_BYTES = 384;
 
-    /** Longest time that the response to an evicted request may take to be sent, milliseconds. */
-    private static final long EVICTED_CLOSE_MS = 1_000;
-
     /** Least change of a body's memory that is recorded, bytes. */
     private static final long MIN_CHANGE_BYTES = 1_024;
 
@@ -72,7 +69,6 @@
     private @Nullable ScheduledFuture<?> mTimer;
     private @Nullable Runnable mOnBodyEvicted;
     private @Nullable HttpMessage mMessage;
-    private @Nullable ScheduledFuture<?> mCloseTimer;
     private boolean mEvicted;
     private long mHeadBytes;
     private long mBodyBytes;
@@ -179,10 +175,13 @@
         super.decode(ctx, in, out);
         int consumed = in.readerIndex() - start;
         mReceivedBytes += consumed;
+        long lines = 0;
         if (!wasInBody) {
-            mHeadBytes += linesBytes(in, start, consumed);
+            lines = countLines(in, start, consumed);
+            mHeadBytes += consumed + HEADER_LINE_BYTES * lines;
         } else if (out.size() == firstNew) {
-            mTrailerBytes += linesBytes(in, start, consumed);
+            lines = countLines(in, start, consumed);
+            mTrailerBytes += consumed + HEADER_LINE_BYTES * lines;
         } else {
             // What came before content was the line with its size.
             mTrailerBytes = 0;
@@ -197,15 +196,14 @@
         }
     }
 
-    /** Returns the memory that decoded lines of headers take, bytes. */
-    private static long linesBytes(ByteBuf in, int start, int length) {
+    private static long countLines(ByteBuf in, int start, int length) {
         long lines = 0;
         for (int i = start; i < start + length; i++) {
             if (in.getByte(i) == '\n') {
                 lines++;
             }
         }
-        return length + HEADER_LINE_BYTES * lines;
+        return lines;
     }
 
     private void onDecoded(Object message) {
@@ -272,21 +270,24 @@
         boolean mustWait = mMemory.hasUnanswered() || mMemory.isAnsweredEarly();
         if (mRejected || !canRespond || mustWait) {
             ctx.close();
+        } else if (isHead || onBodyEvicted == null) {
+            rejectHead(ctx, new EvictedException());
         } else {
-            mCloseTimer =
-                    ctx.executor()
-                            .schedule(() -> ctx.close(), EVICTED_CLOSE_MS, TimeUnit.MILLISECONDS);
-            if (isHead || onBodyEvicted == null) {
-                rejectHead(ctx, new EvictedException());
-            } else {
-                onBodyEvicted.run();
-            }
+            onBodyEvicted.run();
         }
+        releaseAll(ctx);
+    }
+
+    /** Releases what the connection keeps of the request; it may stay open for the response. */
+    private void releaseAll(ChannelHandlerContext ctx) {
         HttpMessage message = mMessage;
         if (message != null) {
-            // They would be kept until the connection is closed.
+            // The server keeps the message until the connection is closed.
             message.headers().clear();
         }
+        if (!ctx.isRemoved()) {
+            ctx.pipeline().replace(this, HANDLER_NAME, new EvictedConnection());
+        }
     }
 
     /** Drops the messages of a request that was evicted while they were decoded. */
@@ -333,10 +334,6 @@
     @Override
     protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
         cancelTimer();
-        ScheduledFuture<?> closeTimer = mCloseTimer;
-        if (closeTimer != null) {
-            closeTimer.cancel(false);
-        }
         super.handlerRemoved0(ctx);
     }
 }
