Limit what connections of callers hold unread

The front ends are the platform's and the product's.

Cause: no listener of callers set a receive buffer, so the system let each connection's buffer grow to megabytes while the process was busy.

The buffers have a size when the connection is accepted, so that nothing has to react while a crowd arrives. Their sum over all connections that the limit allows is a quarter of the heap at most: the first 640 connections of a heap of 160 MB get 16 KiB, which costs a lone upload no more than 256 round trips for the largest body, the others 4 KiB.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -31,6 +32,18 @@
     /** Heap per connection, bytes: an idle one takes some 10 kB with its buffers and timers. */
     private static final long HEAP_PER_CONNECTION = 64 << 10;
 
+    /**
+     * Size of the receive buffer of a connection, bytes; the system reserves twice as much. Without
+     * it each connection may hold megabytes that have not been read.
+     */
+    public static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+
+    /** The same for connections beyond those whose receive buffers take their share. */
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
+
+    /** Divisor of the maximum heap size: share of the larger receive buffers. */
+    private static final int RECEIVE_BUFFERS_DIVISOR = 8;
+
     private static final long RETRY_AFTER_MS = 1_000;
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
@@ -38,6 +51,7 @@
 
     private final Ticker mTicker;
     private final RequestMemory mRequests;
+    private final int mLargeReceiveBuffers;
     private final AtomicLong mLastLogAt;
 
     /** Creates an instance with the limits of this process. */
@@ -60,6 +74,8 @@
                         ticker,
                         maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR,
                         maxConnections > 0 ? maxConnections : maxConnections(heapBytes));
+        mLargeReceiveBuffers =
+                (int) (heapBytes / RECEIVE_BUFFERS_DIVISOR / (2 * RECEIVE_BUFFER_BYTES));
         mLastLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
     }
 
@@ -79,6 +95,15 @@
         }
     }
 
+    /** Limits what a new connection holds unread. */
+    void limitUnread(Channel channel) {
+        int bytes =
+                mRequests.connections() <= mLargeReceiveBuffers
+                        ? RECEIVE_BUFFER_BYTES
+                        : SMALL_RECEIVE_BUFFER_BYTES;
+        channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+    }
+
     /** Adds a connection; {@code onEvicted} ends it, and runs on its event loop. */
     RequestMemory.Connection open(Channel channel, Runnable onEvicted) {
         SocketAddress remote = channel.remoteAddress();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -89,6 +89,7 @@
         mConnectionCtx = connectionCtx;
         mTimeoutMs = timeoutMs;
         mMemory = memory.open(connectionCtx.channel(), this::onEvicted);
+        memory.limitUnread(connectionCtx.channel());
     }
 
     /**
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CallerServer.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CallerServer.java
@@ -64,6 +64,7 @@
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
                         .setIdleTimeoutUnit(TimeUnit.SECONDS)
+                        .setReceiveBufferSize(CallerMemory.RECEIVE_BUFFER_BYTES)
                         .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
                 .connectionHandler(
