Size receive buffers so that a lone upload is not slowed

Cause: a segment on a loopback address is as large as a buffer of 16 KiB lets the system accept, so that the sender waited for its timer of 200 ms before most segments (rcv_rtt 208 ms).

ClientCrowdTest#singleRequestsOfLegalSizeAreServed sends single requests of legal size: a body of 4 MiB, 600,000 chunks, chunk extensions, many lines in the head and behind the body. Only 160 connections have 64 KiB, the default of the system without its growth, and the others 4 KiB, so the sum of all buffers is a quarter of the heap at most, as before.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -36,7 +36,7 @@
      * Size of the receive buffer of a connection, bytes; the system reserves twice as much. Without
      * it each connection may hold megabytes that have not been read.
      */
-    public static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+    public static final int RECEIVE_BUFFER_BYTES = 64 << 10;
 
     /** The same for connections beyond those whose receive buffers take their share. */
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
