Read costly requests in turns

Callers saw: beside 100 clients that sent 600,000 chunks of one byte each, ordinary requests got 503, 504 and 429, also for some tries afterwards (the observation that led here; ClientCrowdTest#tinyChunksDoNotStarveCallers passed before, since a later try was answered).

Cause: one pass of an event loop read up to a megabyte from each connection and decoded all of it, some 175,000 chunks, before the next connection was read.

Evidence: ReadPaceTest lets 40 such clients and 10 small requests arrive before the loop runs. ReadTurnsTest shows the order.

A read takes 16 KiB at most, and a connection that has cost more than 512 decoded parts of late is not read again before its turn, of which there is one in each pass of the loop. So what a pass takes beside new requests does not grow with the number of costly ones. Turns go to the connection with the least work first, so a large body in large parts is not held up by tiny chunks.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -8,6 +8,8 @@
 import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
@@ -52,6 +54,7 @@
     private final Ticker mTicker;
     private final RequestMemory mRequests;
     private final int mLargeReceiveBuffers;
+    private final Map<EventLoop, ReadTurns> mTurns = new ConcurrentHashMap<>();
     private final AtomicLong mLastLogAt;
 
     /** Creates an instance with the limits of this process. */
@@ -95,13 +98,15 @@
         }
     }
 
-    /** Limits what a new connection holds unread. */
-    void limitUnread(Channel channel) {
+    /** Returns the pace at which a new connection is read; limits its receive buffer. */
+    ReadPace newPace(Channel channel) {
         int bytes =
                 mRequests.connections() <= mLargeReceiveBuffers
                         ? RECEIVE_BUFFER_BYTES
                         : SMALL_RECEIVE_BUFFER_BYTES;
         channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+        ReadTurns turns = mTurns.computeIfAbsent(channel.eventLoop(), ReadTurns::new);
+        return new ReadPace(channel, turns, mTicker);
     }
 
     /** Adds a connection; {@code onEvicted} ends it, and runs on its event loop. */
--- /dev/null
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
@@ -0,0 +1,69 @@
+package org.sesamepin.node.http;
+
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
+import java.util.concurrent.TimeUnit;
+import org.sesamepin.core.time.Ticker;
+
+/**
+ * Bounds the work of an event loop for one connection before it serves the next: reads little at a
+ * time, and in turns with others when the decoded parts of late were many. Confined to the event
+ * loop.
+ */
+final class ReadPace {
+    /** Decoded parts per second, about, that wait for no turn. */
+    private static final long FREE_WORK = 512;
+
+    /** Bytes that count as much as a decoded part. */
+    private static final int BYTES_PER_WORK = 1_024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 4_096;
+    private static final int MAX_READ_BYTES = 16 << 10;
+    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Channel mChannel;
+    private final ReadTurns mTurns;
+    private final Ticker mTicker;
+    private long mWindowStart;
+    private long mWork;
+    private boolean mIsWaiting;
+
+    ReadPace(Channel channel, ReadTurns turns, Ticker ticker) {
+        mChannel = channel;
+        mTurns = turns;
+        mTicker = ticker;
+        mWindowStart = ticker.nanoTime();
+        RecvByteBufAllocator reads =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                        .maxMessagesPerRead(1);
+        channel.config().setOption(ChannelOption.RCVBUF_ALLOCATOR, reads);
+    }
+
+    /** Records decoded parts (lines, chunks) and bytes. */
+    void record(long parts, long bytes) {
+        mWork += parts + bytes / BYTES_PER_WORK;
+    }
+
+    /** Stops reading until the connection's turn, when its work of late was much. */
+    void endRead() {
+        long windows = (mTicker.nanoTime() - mWindowStart) / WINDOW_NANOS;
+        mWindowStart += windows * WINDOW_NANOS;
+        mWork >>= Math.min(windows, Long.SIZE - 1);
+        // When the server has stopped reading, it resumes by itself, and the next read ends here.
+        if (mWork > FREE_WORK && !mIsWaiting && mChannel.config().isAutoRead()) {
+            mIsWaiting = true;
+            mChannel.config().setAutoRead(false);
+            mTurns.await(mWork, this::resume);
+        }
+    }
+
+    private void resume() {
+        mIsWaiting = false;
+        if (mChannel.isOpen()) {
+            mChannel.config().setAutoRead(true);
+        }
+    }
+}
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -66,6 +66,7 @@
     private final ChannelHandlerContext mConnectionCtx;
     private final LongSupplier mTimeoutMs;
     private final RequestMemory.Connection mMemory;
+    private final ReadPace mPace;
     private @Nullable ScheduledFuture<?> mTimer;
     private @Nullable Runnable mOnBodyEvicted;
     private @Nullable HttpMessage mMessage;
@@ -89,7 +90,7 @@
         mConnectionCtx = connectionCtx;
         mTimeoutMs = timeoutMs;
         mMemory = memory.open(connectionCtx.channel(), this::onEvicted);
-        memory.limitUnread(connectionCtx.channel());
+        mPace = memory.newPace(connectionCtx.channel());
     }
 
     /**
@@ -187,6 +188,7 @@
             // What came before content was the line with its size.
             mTrailerBytes = 0;
         }
+        mPace.record(1 + lines, consumed);
         // A part that cannot be decoded yet keeps the whole buffer it was received in.
         record(in.isReadable() && out.size() == firstNew ? in.capacity() : 0);
         for (int i = firstNew; i < out.size() && !mEvicted; i++) {
@@ -197,6 +199,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        super.channelReadComplete(ctx);
+        mPace.endRead();
+    }
+
     private static long countLines(ByteBuf in, int start, int length) {
         long lines = 0;
         for (int i = start; i < start + length; i++) {
