Count the parts of forms that no consumer gets

Callers saw: nothing yet; the product's API kept 85 MB (heap after a collection, of 160 MB) for 40 uploads of 2 MB each in fields of forms, while the budget of 40 MB counted 4 kB for each.

Cause: for a streamed body only what its consumer keeps was counted. Of a form the consumer gets the files; the server keeps the fields, 256 of 8 kB.

Evidence: CallerMemoryTest#fieldsOfFormsCount got no answer before (1.6 MB in fields beside a budget of 1 MiB), now 503.

All that has arrived and was not passed on counts now, whatever keeps it.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -75,6 +75,7 @@
     private long mBodyBytes;
     private long mTrailerBytes;
     private long mStreamedBytes = NOT_STREAMED;
+    private long mPassedBytes;
     private long mRecordedBytes;
     private long mReceivedBytes;
     private int mSkippedBytes;
@@ -129,12 +130,16 @@
     }
 
     /**
-     * Sets the memory that a body takes of which only a part is kept, bytes. Has no effect when
-     * bytes of a later request are being decoded.
+     * Sets the memory that a body takes of which only a part is kept. What has arrived and was not
+     * passed on counts besides. Has no effect when bytes of a later request are being decoded.
+     *
+     * @param keptBytes memory of what was passed on, bytes
+     * @param passedBytes size of what was passed on so far, bytes
      */
-    void setStreamedBytes(long bytes) {
+    void setStreamedBytes(long keptBytes, long passedBytes) {
         if (mInBody && !mMemory.hasUnanswered()) {
-            mStreamedBytes = bytes;
+            mStreamedBytes = keptBytes;
+            mPassedBytes = passedBytes;
         }
     }
 
@@ -232,6 +237,7 @@
             mBodyBytes = 0;
             mTrailerBytes = 0;
             mStreamedBytes = NOT_STREAMED;
+            mPassedBytes = 0;
             mRecordedBytes = 0;
             mMessage = null;
         }
@@ -239,7 +245,10 @@
 
     /** Records the memory of the request that is being read, with {@code undecodedBytes}. */
     private void record(long undecodedBytes) {
-        long bodyBytes = mStreamedBytes == NOT_STREAMED ? capacity(mBodyBytes) : mStreamedBytes;
+        long bodyBytes =
+                mStreamedBytes == NOT_STREAMED
+                        ? capacity(mBodyBytes)
+                        : mStreamedBytes + Math.max(0, mBodyBytes - mPassedBytes);
         long heldBytes = REQUEST_BYTES + mHeadBytes + bodyBytes + mTrailerBytes + undecodedBytes;
         if (!mInBody || Math.abs(heldBytes - mRecordedBytes) >= MIN_CHANGE_BYTES) {
             mRecordedBytes = heldBytes;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -131,6 +131,21 @@
         return "POST /large HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + "b".repeat(bytes);
     }
 
+    /** Guards against fields of forms, which no consumer gets, that are kept and not counted. */
+    @Test
+    void fieldsOfFormsCount() throws Exception {
+        int port = serve();
+        String field =
+                "--part\r\nContent-Disposition: form-data; name=\"n\"\r\n\r\n"
+                        + "f".repeat(8_000)
+                        + "\r\n";
+        String head =
+                "POST /stream HTTP/1.1\r\nContent-Type: multipart/form-data; boundary=part\r\n"
+                        + "Content-Length: 4000000\r\n\r\n";
+        String answer = read(send(port, head + field.repeat(200)));
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+    }
+
     /** Guards against a refusal that does not tell the caller that nothing was run. */
     @Test
     void evictedBodyIsRefusedTruthfully() throws Exception {
