Refuse calls that cannot be served before their bodies are read

Callers saw: 100 clients with an unknown key and bodies of 4 MiB got 503 request-memory-full, or no answer, none 401. They held the budget for requests, so that callers with keys could be evicted for them.

Cause: the platform's front end read the whole body before it looked for the route, the customer and the time left before a stop.

Evidence: ClientCrowdTest#unknownCallersTakeNoMemoryForBodies failed before on the platform's front end; all 100 get 401 now.

The check behind the body stays.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallHandler.java
@@ -60,11 +60,22 @@
                         mContext.vertx(),
                         request,
                         config.connectionLimits().maxBodyBytes(),
-                        config.connectionLimits().idleTimeoutMs())
+                        config.connectionLimits().idleTimeoutMs(),
+                        () -> checkHead(head))
                 .onSuccess(body -> run(request, head, () -> onBody(request, head, body, arrivedAt)))
                 .onFailure(e -> sendProblem(request, head, Problem.of(e)));
     }
 
+    /**
+     * Rejects a call of which its head tells that it cannot be served. All is checked again once
+     * the body has arrived: a key may be withdrawn in the meantime.
+     */
+    private void checkHead(CallHead head) throws Problem {
+        ServingRoute route = findRoute(head);
+        findCustomer(head, route);
+        checkTimeLeft(head, route);
+    }
+
     /** Runs a step of a call; a failure that the step does not expect is sent as a problem. */
     private void run(HttpServerRequest request, CallHead head, Runnable step) {
         try {
