Forward the body of a form as it came

Callers saw: a call with the content type multipart/form-data reached its target without its fields; the target got the bytes of its files only.

Cause: BodyReader decoded forms also where the whole body is forwarded.

Evidence: CallerMemoryTest#formsThatAreReadWholeStayAsTheyAre failed before (the field was missing). Only the upload of an input file decodes forms now. Found while reading what a form keeps in memory.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -182,7 +182,7 @@
 
     private void handleParts() {
         String type = mRequest.getHeader(HttpHeaders.CONTENT_TYPE);
-        if (type != null && type.startsWith("multipart/form-data")) {
+        if (mIsStream && type != null && type.startsWith("multipart/form-data")) {
             mRequest.setExpectMultipart(true);
             mRequest.uploadHandler(upload -> upload.handler(this::onPart));
         } else {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +37,7 @@
     private final List<String> mHandled = new CopyOnWriteArrayList<>();
     private final List<Integer> mPartSizes = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new ArrayList<>();
+    private Consumer<Buffer> mOnWholeBody = body -> {};
     private Consumer<HttpServerRequest> mOnBody = request -> request.response().end("whole");
 
     @AfterEach
@@ -83,6 +85,9 @@
         read.onSuccess(
                         body -> {
                             mHandled.add(request.path());
+                            if (body instanceof Buffer whole) {
+                                mOnWholeBody.accept(whole);
+                            }
                             mOnBody.accept(request);
                         })
                 .onFailure(e -> Problem.of(e).send(request.response(), "-"));
@@ -146,6 +151,23 @@
         assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
     }
 
+    /** Guards against the change of a body that is forwarded as it came. */
+    @Test
+    void formsThatAreReadWholeStayAsTheyAre() throws Exception {
+        int port = serve();
+        String form =
+                "--part\r\nContent-Disposition: form-data; name=\"n\"\r\n\r\nfield\r\n--part--\r\n";
+        AtomicReference<String> body = new AtomicReference<>();
+        mOnWholeBody = whole -> body.set(whole.toString());
+        String head =
+                "POST /small HTTP/1.1\r\nContent-Type: multipart/form-data; boundary=part\r\n"
+                        + "Content-Length: "
+                        + form.length()
+                        + "\r\n\r\n";
+        assertTrue(read(send(port, head + form)).endsWith("whole"));
+        assertEquals(form, body.get());
+    }
+
     /** Guards against a refusal that does not tell the caller that nothing was run. */
     @Test
     void evictedBodyIsRefusedTruthfully() throws Exception {
