Decode a request when the response before it is sent

Callers saw: the process ended (OutOfMemoryError: Java heap space) under 300 clients that sent small whole requests with an unknown key behind each other and did not read the responses.

Cause: one read decoded all requests in it, 190 for 16 KiB, and some 132 for each connection stayed in memory (39,534 in a histogram of the heap) until their responses could be written. The budget counted a request only until its response was handed to the connection, so it evicted nobody. What refers to the requests within the library was not traced.

Evidence: ClientCrowdTest#unreadRefusalsDoNotExhaustTheMemory, heap of 96 MB. Counting a request until its response is sent was not enough alone (the process ended).

A request behind another one stays as its bytes until the response before it is sent, and no more is read. The server never ran two requests of a connection at once, so callers lose nothing but the head start in decoding. An accepted call no longer loses its connection because the next request behind it is evicted, unless memory runs out while its bytes wait.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
@@ -30,6 +30,7 @@
     private long mWindowStart;
     private long mWork;
     private boolean mIsWaiting;
+    private boolean mIsStopped;
 
     ReadPace(Channel channel, ReadTurns turns, Ticker ticker) {
         mChannel = channel;
@@ -47,22 +48,43 @@
         mWork += parts + bytes / BYTES_PER_WORK;
     }
 
-    /** Stops reading until the connection's turn, when its work of late was much. */
-    void endRead() {
+    /**
+     * Ends a read. Stops reading until {@link #resume} when the connection has no use for more, or
+     * until its turn when its work of late was much.
+     */
+    void endRead(boolean hasEnough) {
         long windows = (mTicker.nanoTime() - mWindowStart) / WINDOW_NANOS;
         mWindowStart += windows * WINDOW_NANOS;
         mWork >>= Math.min(windows, Long.SIZE - 1);
-        // When the server has stopped reading, it resumes by itself, and the next read ends here.
-        if (mWork > FREE_WORK && !mIsWaiting && mChannel.config().isAutoRead()) {
+        if (!mChannel.config().isAutoRead()) {
+            // The server has stopped reading. It resumes by itself, and the next read ends here.
+            return;
+        }
+        if (hasEnough) {
+            mIsStopped = true;
+            mChannel.config().setAutoRead(false);
+        } else if (mWork > FREE_WORK) {
             mIsWaiting = true;
             mChannel.config().setAutoRead(false);
-            mTurns.await(mWork, this::resume);
+            mTurns.await(mWork, this::onTurn);
         }
     }
 
-    private void resume() {
+    private void onTurn() {
         mIsWaiting = false;
-        if (mChannel.isOpen()) {
+        read();
+    }
+
+    /** Reads on after a read that brought enough. */
+    void resume() {
+        if (mIsStopped) {
+            mIsStopped = false;
+            read();
+        }
+    }
+
+    private void read() {
+        if (!mIsWaiting && !mIsStopped && mChannel.isOpen()) {
             mChannel.config().setAutoRead(true);
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -81,6 +82,7 @@
     private int mSkippedBytes;
     private boolean mInBody;
     private boolean mRejected;
+    private boolean mIsWaiting;
 
     private RequestHeadDecoder(
             ChannelHandlerContext connectionCtx,
@@ -169,6 +171,11 @@
             if (!in.isReadable()) {
                 return;
             }
+            if (mMemory.hasUnanswered()) {
+                mIsWaiting = true;
+                record(in.capacity());
+                return;
+            }
             mTimer =
                     ctx.executor()
                             .schedule(
@@ -207,7 +214,27 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         super.channelReadComplete(ctx);
-        mPace.endRead();
+        mPace.endRead(mIsWaiting);
+    }
+
+    /** Returns whether a request waits until the response to the one before it is sent. */
+    boolean isWaiting() {
+        return mIsWaiting;
+    }
+
+    /**
+     * Decodes the next request, which waits until the response to the one before it is sent: what
+     * is decoded takes many times the memory of its bytes, and callers need not read responses.
+     */
+    void decodeNext() throws Exception {
+        ChannelHandlerContext ctx = mConnectionCtx.pipeline().context(this);
+        if (ctx == null || !mIsWaiting) {
+            return;
+        }
+        mIsWaiting = false;
+        mPace.resume();
+        channelRead(ctx, Unpooled.EMPTY_BUFFER);
+        channelReadComplete(ctx);
     }
 
     private static long countLines(ByteBuf in, int start, int length) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -73,9 +73,28 @@
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent && !isInterim(message)) {
-            mMemory.endResponse();
+            // A caller that does not read leaves its responses in the process.
+            ctx.write(message, promise.unvoid()).addListener(f -> onResponseSent(ctx));
+        } else {
+            ctx.write(message, promise);
+        }
+    }
+
+    /** Lets the next request be decoded, not within the call stack of the one before it. */
+    private void onResponseSent(ChannelHandlerContext ctx) {
+        mMemory.endResponse();
+        RequestHeadDecoder decoder = ctx.pipeline().get(RequestHeadDecoder.class);
+        if (decoder != null && decoder.isWaiting()) {
+            ctx.executor().execute(() -> decodeNext(ctx, decoder));
+        }
+    }
+
+    private static void decodeNext(ChannelHandlerContext ctx, RequestHeadDecoder decoder) {
+        try {
+            decoder.decodeNext();
+        } catch (Exception e) {
+            ctx.fireExceptionCaught(e);
         }
-        ctx.write(message, promise);
     }
 
     private static boolean isInterim(Object message) {
