Release the kept part of a refused body, and wait for one turn only

A body of unknown length that is refused after 64 KiB kept them until its end, which the budget no longer counted. A connection that the server resumes while it waits for its turn took a second place in the queue of turns.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -26,11 +26,11 @@
     private final HttpServerRequest mRequest;
     private final long mMaxBytes;
     private final HeadCheck mHeadCheck;
-    private final Consumer<Buffer> mParts;
-    private final LongSupplier mHeldBytes;
     private final boolean mIsStream;
     private final @Nullable RequestHeadDecoder mDecoder;
     private final Promise<Void> mPromise = Promise.promise();
+    private Consumer<Buffer> mParts;
+    private LongSupplier mHeldBytes;
     private long mReceivedBytes;
     private long mLastReceivedAt = System.nanoTime();
     private boolean mIsRefused;
@@ -157,13 +157,15 @@
         }
     }
 
-    /** Returns whether the request can be served; else its body is discarded from now on. */
+    /** Returns whether the request can be served; else its body is discarded, also what is kept. */
     private boolean passesHeadCheck() {
         try {
             mHeadCheck.check();
             return true;
         } catch (Problem e) {
             mIsRefused = true;
+            mParts = part -> {};
+            mHeldBytes = () -> 0;
             mRequest.handler(this::discard);
             mRequest.exceptionHandler(t -> {});
             recordDiscarded();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
@@ -29,7 +29,7 @@
     private final Ticker mTicker;
     private long mWindowStart;
     private long mWork;
-    private boolean mIsWaiting;
+    private boolean mAwaitsTurn;
     private boolean mIsStopped;
 
     ReadPace(Channel channel, ReadTurns turns, Ticker ticker) {
@@ -64,14 +64,20 @@
             mIsStopped = true;
             mChannel.config().setAutoRead(false);
         } else if (mWork > FREE_WORK) {
-            mIsWaiting = true;
             mChannel.config().setAutoRead(false);
+            awaitTurn();
+        }
+    }
+
+    private void awaitTurn() {
+        if (!mAwaitsTurn) {
+            mAwaitsTurn = true;
             mTurns.await(mWork, this::onTurn);
         }
     }
 
     private void onTurn() {
-        mIsWaiting = false;
+        mAwaitsTurn = false;
         read();
     }
 
@@ -84,7 +90,7 @@
     }
 
     private void read() {
-        if (!mIsWaiting && !mIsStopped && mChannel.isOpen()) {
+        if (!mAwaitsTurn && !mIsStopped && mChannel.isOpen()) {
             mChannel.config().setAutoRead(true);
         }
     }
