Stop accepting connections that no event loop has counted

Callers saw: beside a burst of connections (27,000 a second for 12 s, each with a part of a head, 6,000 open at once) ordinary calls timed out or got no answer. The node had all of its 2,212 descriptors open, so that none were left for targets, peers and the store; its connection to the store was lost.

Cause: the limit on connections, 1,659 here, is applied by the event loop. The listener accepts in a thread of its own, as fast as it can, and the descriptor of a closed connection is released only when its loop selects again.

The gate stands in the listener's pipeline and counts a connection from its acceptance until its loop has selected after its end, so nothing that is open is left out. One sixteenth more than the limit may be open: those that evict others on their way in.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -46,6 +46,9 @@
     /** Divisor of the maximum heap size: share of the larger receive buffers. */
     private static final int RECEIVE_BUFFERS_DIVISOR = 8;
 
+    /** Divisor of the number of connections: share of those that wait or are being closed. */
+    private static final int ACCEPTED_DIVISOR = 16;
+
     private static final long RETRY_AFTER_MS = 1_000;
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
@@ -53,6 +56,7 @@
 
     private final Ticker mTicker;
     private final RequestMemory mRequests;
+    private final int mMaxAccepted;
     private final int mLargeReceiveBuffers;
     private final Map<EventLoop, ReadTurns> mTurns = new ConcurrentHashMap<>();
     private final AtomicLong mLastLogAt;
@@ -71,12 +75,12 @@
      */
     public CallerMemory(Ticker ticker, long maxBytes, int maxConnections) {
         long heapBytes = Runtime.getRuntime().maxMemory();
+        int connections = maxConnections > 0 ? maxConnections : maxConnections(heapBytes);
         mTicker = ticker;
         mRequests =
                 new RequestMemory(
-                        ticker,
-                        maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR,
-                        maxConnections > 0 ? maxConnections : maxConnections(heapBytes));
+                        ticker, maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR, connections);
+        mMaxAccepted = connections + connections / ACCEPTED_DIVISOR + 1;
         mLargeReceiveBuffers =
                 (int) (heapBytes / RECEIVE_BUFFERS_DIVISOR / (2 * RECEIVE_BUFFER_BYTES));
         mLastLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
@@ -109,6 +113,14 @@
         return new ReadPace(channel, turns, mTicker);
     }
 
+    /** Limits how many connections the listener of a new connection accepts. */
+    void limitAccepted(Channel channel) {
+        Channel listener = channel.parent();
+        if (listener != null) {
+            AcceptGate.install(listener, mMaxAccepted);
+        }
+    }
+
     /** Adds a connection; {@code onEvicted} ends it, and runs on its event loop. */
     RequestMemory.Connection open(Channel channel, Runnable onEvicted) {
         SocketAddress remote = channel.remoteAddress();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -110,6 +110,7 @@
             LongSupplier timeoutMs,
             CallerMemory memory) {
         ChannelHandlerContext ctx = ((ConnectionBase) connection).channelHandlerContext();
+        memory.limitAccepted(ctx.channel());
         RequestHeadDecoder decoder = new RequestHeadDecoder(ctx, options, timeoutMs, memory);
         ctx.pipeline().replace(HANDLER_NAME, HANDLER_NAME, decoder);
         ctx.pipeline().addAfter(ENCODER_NAME, PIPELINE_NAME, new RequestPipeline(decoder.mMemory));
