Show when callers' connections wait

Found while reading: the gate of the listener and the turns of reading left no trace. sesamepin_accept_stops and sesamepin_read_turns count both, on both front ends; step=accept outcome=stopped says at most once a second that the gate is closed. The reference names the sixteenth above max_connections.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/admin/NodeMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/admin/NodeMetrics.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.sesamepin.core.batch.ItemOutcome;
 import org.sesamepin.node.http.CallerMemory;
 import org.sesamepin.node.http.ProblemType;
@@ -76,10 +77,25 @@
                 "sesamepin_caller_connections",
                 "Open connections of callers.",
                 memory::connections);
+        registerCounter(
+                "sesamepin_callers_evicted",
+                "Connections of callers given up for memory or descriptors.",
+                memory::evictions);
+        registerCounter(
+                "sesamepin_accept_stops",
+                "Times that the listener for callers stopped to accept connections.",
+                memory::acceptStops);
+        registerCounter(
+                "sesamepin_read_turns",
+                "Turns to be read of connections with costly requests.",
+                memory::readTurns);
+    }
+
+    private void registerCounter(String name, String help, LongSupplier value) {
         CounterWithCallback.builder()
-                .name("sesamepin_callers_evicted")
-                .help("Connections of callers given up for memory or descriptors.")
-                .callback(c -> c.call(memory.evictions()))
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsLong()))
                 .register(mRegistry);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/AcceptGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/AcceptGate.java
@@ -14,10 +14,12 @@
  */
 final class AcceptGate extends ChannelInboundHandlerAdapter {
     private final int mMaxConnections;
+    private final Runnable mOnStopped;
     private int mConnections;
 
-    private AcceptGate(int maxConnections) {
+    private AcceptGate(int maxConnections, Runnable onStopped) {
         mMaxConnections = maxConnections;
+        mOnStopped = onStopped;
     }
 
     /**
@@ -25,10 +27,11 @@
      *
      * @param maxConnections number of its connections from which it accepts no more, but for those
      *     that it is accepting already
+     * @param onStopped runs each time that the listener stops to accept
      */
-    static synchronized void install(Channel listener, int maxConnections) {
+    static synchronized void install(Channel listener, int maxConnections, Runnable onStopped) {
         if (listener.pipeline().get(AcceptGate.class) == null) {
-            listener.pipeline().addFirst(new AcceptGate(maxConnections));
+            listener.pipeline().addFirst(new AcceptGate(maxConnections, onStopped));
         }
     }
 
@@ -63,6 +66,9 @@
         boolean isOpen = mConnections < mMaxConnections;
         if (listener.config().isAutoRead() != isOpen) {
             listener.config().setAutoRead(isOpen);
+            if (!isOpen) {
+                mOnStopped.run();
+            }
         }
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.sesamepin.core.error.Execution;
@@ -23,7 +24,8 @@
 
 /**
  * The memory that requests of callers take in this process, with limits that derive from its heap
- * and its descriptors. Logs at most one line per second about connections that are evicted.
+ * and its descriptors. Logs at most one line per second about connections that are evicted, and
+ * about a listener that stops to accept.
  */
 public final class CallerMemory {
     private static final Logger LOG = LoggerFactory.getLogger(CallerMemory.class);
@@ -59,7 +61,10 @@
     private final int mMaxAccepted;
     private final int mLargeReceiveBuffers;
     private final Map<EventLoop, ReadTurns> mTurns = new ConcurrentHashMap<>();
+    private final LongAdder mGivenTurns = new LongAdder();
+    private final LongAdder mAcceptStops = new LongAdder();
     private final AtomicLong mLastLogAt;
+    private final AtomicLong mLastStopLogAt;
 
     /** Creates an instance with the limits of this process. */
     public CallerMemory(Ticker ticker) {
@@ -84,6 +89,7 @@
         mLargeReceiveBuffers =
                 (int) (heapBytes / RECEIVE_BUFFERS_DIVISOR / (2 * RECEIVE_BUFFER_BYTES));
         mLastLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
+        mLastStopLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
     }
 
     /** Returns three quarters of the descriptors, unless the heap allows fewer connections. */
@@ -109,7 +115,9 @@
                         ? RECEIVE_BUFFER_BYTES
                         : SMALL_RECEIVE_BUFFER_BYTES;
         channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
-        ReadTurns turns = mTurns.computeIfAbsent(channel.eventLoop(), ReadTurns::new);
+        ReadTurns turns =
+                mTurns.computeIfAbsent(
+                        channel.eventLoop(), loop -> new ReadTurns(loop, mGivenTurns));
         return new ReadPace(channel, turns, mTicker);
     }
 
@@ -117,7 +125,7 @@
     void limitAccepted(Channel channel) {
         Channel listener = channel.parent();
         if (listener != null) {
-            AcceptGate.install(listener, mMaxAccepted);
+            AcceptGate.install(listener, mMaxAccepted, this::onAcceptStopped);
         }
     }
 
@@ -149,10 +157,26 @@
         }
     }
 
-    private void log() {
+    private void onAcceptStopped() {
+        mAcceptStops.increment();
+        if (isLogDue(mLastStopLogAt)) {
+            LOG.warn(
+                    "step=accept outcome=stopped stops={} max_accepted={} connections={}",
+                    mAcceptStops.sum(),
+                    mMaxAccepted,
+                    mRequests.connections());
+        }
+    }
+
+    /** Returns whether a second has passed since the last line of a kind; if so, begins anew. */
+    private boolean isLogDue(AtomicLong lastLogAt) {
         long now = mTicker.nanoTime();
-        long last = mLastLogAt.get();
-        if (now - last < LOG_INTERVAL_NANOS || !mLastLogAt.compareAndSet(last, now)) {
+        long last = lastLogAt.get();
+        return now - last >= LOG_INTERVAL_NANOS && lastLogAt.compareAndSet(last, now);
+    }
+
+    private void log() {
+        if (!isLogDue(mLastLogAt)) {
             return;
         }
         LOG.warn(
@@ -185,6 +209,16 @@
         return mRequests.connections();
     }
 
+    /** Returns how often the listener has stopped to accept connections so far. */
+    public long acceptStops() {
+        return mAcceptStops.sum();
+    }
+
+    /** Returns how many turns to be read connections with costly requests have got so far. */
+    public long readTurns() {
+        return mGivenTurns.sum();
+    }
+
     /** Returns how many connections have been evicted so far. */
     public long evictions() {
         return mRequests.evictions();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadTurns.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadTurns.java
@@ -5,6 +5,7 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Lets the connections of one event loop read in turns when they cost much work. One connection
@@ -13,14 +14,21 @@
  */
 final class ReadTurns {
     private final EventLoop mEventLoop;
+    private final LongAdder mTurns;
     private final Queue<Waiter> mWaiters =
             new PriorityQueue<>(
                     Comparator.comparingLong(Waiter::work).thenComparingLong(Waiter::number));
     private long mNumber;
     private boolean mIsScheduled;
 
-    ReadTurns(EventLoop eventLoop) {
+    /**
+     * Creates an instance without connections.
+     *
+     * @param turns counts the turns given
+     */
+    ReadTurns(EventLoop eventLoop, LongAdder turns) {
         mEventLoop = eventLoop;
+        mTurns = turns;
     }
 
     private record Waiter(long work, long number, Runnable onTurn) {}
@@ -48,6 +56,7 @@
         mIsScheduled = false;
         Waiter next = mWaiters.poll();
         if (next != null) {
+            mTurns.increment();
             next.onTurn().run();
         }
         schedule();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -85,6 +85,14 @@
                 "sesamepin_callers_evicted",
                 "Connections of callers given up for memory or descriptors.",
                 memory::evictions);
+        counter(
+                "sesamepin_accept_stops",
+                "Times that the listener for callers stopped to accept connections.",
+                memory::acceptStops);
+        counter(
+                "sesamepin_read_turns",
+                "Turns to be read of connections with costly requests.",
+                memory::readTurns);
     }
 
     /** Counts a finished request. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/settings/NodeProperties.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/settings/NodeProperties.java
@@ -148,7 +148,8 @@
                     0,
                     10_000_000,
                     "Callers' connections open at once; 0 for three quarters of the files that the"
-                            + " process may open, and at most one per 64 KiB of heap.");
+                            + " process may open, and at most one per 64 KiB of heap. A sixteenth"
+                            + " more may be open while they are accepted or closed.");
 
     static final SectionSchema NODE =
             SectionSchema.of(
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/ReadTurnsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/ReadTurnsTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.junit.jupiter.api.Test;
 
 /** The order in which connections of one event loop are read. */
@@ -19,7 +20,8 @@
         EventLoop loop = new DefaultEventLoop();
         List<String> order = new CopyOnWriteArrayList<>();
         CountDownLatch done = new CountDownLatch(4);
-        ReadTurns turns = new ReadTurns(loop);
+        LongAdder given = new LongAdder();
+        ReadTurns turns = new ReadTurns(loop, given);
         loop.execute(
                 () -> {
                     for (String waiter : List.of("5 a", "1 b", "3 c", "1 d")) {
@@ -35,5 +37,6 @@
         assertTrue(done.await(1, TimeUnit.MINUTES));
         loop.shutdownGracefully();
         assertEquals(List.of("1 b", "1 d", "3 c", "5 a"), order);
+        assertEquals(order.size(), given.intValue());
     }
 }
