Refuse requests that arrive too slowly for a stop

Cause: a stop waits for requests that are being read, and whether a request can still be served was checked only behind its body.

Evidence: CallerMemoryTest#requestThatCannotBeServedAnyMoreIsRefusedWhileItIsRead got 408 after the whole idle timeout before.

The check of the head runs twice a second while a body arrives. A host that stops refuses a call as soon as its time does not fit into the rest of the grace time, which it would refuse behind the body as well; the 503 is true, since nothing of the call was sent.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -21,7 +21,8 @@
     private static final long LARGE_BYTES = 64 << 10;
 
     private static final int CHECKS_PER_TIMEOUT = 4;
-    private static final int MIN_CHECK_INTERVAL_MS = 10;
+    private static final long MIN_CHECK_INTERVAL_MS = 10;
+    private static final long MAX_CHECK_INTERVAL_MS = 500;
 
     private final HttpServerRequest mRequest;
     private final long mMaxBytes;
@@ -77,11 +78,14 @@
 
     /**
      * Reads a whole body into memory, unless it is large and the request cannot be served. Then the
-     * rest of the body is discarded as it arrives, and the connection stays usable.
+     * rest of the body is discarded as it arrives, and the connection stays usable. A request that
+     * cannot be served any more while its body arrives slowly is given up, and its connection is
+     * closed after the response.
      *
      * @param maxBytes maximum size of the body, bytes
      * @param timeoutMs idle timeout: longest time without a received byte, milliseconds
-     * @param headCheck runs when more than 64 KiB of the body are announced or have arrived
+     * @param headCheck runs when more than 64 KiB of the body are announced or have arrived, and
+     *     twice a second while it arrives
      * @return the body; fails with the {@link Problem} of the check, or with one when a limit is
      *     exceeded or the body is interrupted
      */
@@ -127,10 +131,11 @@
         }
         recordStreamed();
         long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-        long timer =
-                vertx.setPeriodic(
-                        Math.max(MIN_CHECK_INTERVAL_MS, timeoutMs / CHECKS_PER_TIMEOUT),
-                        t -> checkIdle(timeoutNanos));
+        long intervalMs =
+                Math.min(
+                        MAX_CHECK_INTERVAL_MS,
+                        Math.max(MIN_CHECK_INTERVAL_MS, timeoutMs / CHECKS_PER_TIMEOUT));
+        long timer = vertx.setPeriodic(intervalMs, t -> check(timeoutNanos));
         handleParts();
         mRequest.exceptionHandler(
                 e -> fail(ProblemType.MALFORMED_REQUEST, "the request body was interrupted"));
@@ -207,9 +212,16 @@
         recordStreamed();
     }
 
-    private void checkIdle(long timeoutNanos) {
+    /** Gives up a body that has stopped to arrive, or whose request cannot be served any more. */
+    private void check(long timeoutNanos) {
         if (System.nanoTime() - mLastReceivedAt > timeoutNanos) {
             fail(ProblemType.CALLER_TOO_SLOW, "silence");
+            return;
+        }
+        try {
+            mHeadCheck.check();
+        } catch (Problem e) {
+            mPromise.tryFail(e);
         }
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -21,6 +21,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.sesamepin.core.error.Step;
 import org.sesamepin.core.time.Ticker;
 
 /** Sends requests over sockets to a server with little memory for them. */
@@ -29,14 +30,15 @@
     private static final int MAX_CONNECTIONS = 20;
     private static final int SOCKET_TIMEOUT_MS = 20_000;
     private static final int POLL_MS = 10;
+    private static final long CHECKED_TIMEOUT_MS = 4_000;
     private static final String SMALL = "POST /small HTTP/1.1\r\nContent-Length: 2\r\n\r\nab";
 
     private final Vertx mVertx = Vertx.vertx();
-    private final CallerMemory mMemory =
-            new CallerMemory(Ticker.SYSTEM, MAX_BYTES, MAX_CONNECTIONS);
+    private final CallerMemory mMemory = new CallerMemory(Ticker.SYSTEM, MAX_BYTES, MAX_CONNECTIONS);
     private final List<String> mHandled = new CopyOnWriteArrayList<>();
     private final List<Integer> mPartSizes = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new ArrayList<>();
+    private BodyReader.HeadCheck mHeadCheck = () -> {};
     private Consumer<Buffer> mOnWholeBody = body -> {};
     private Consumer<HttpServerRequest> mOnBody = request -> request.response().end("whole");
 
@@ -78,10 +80,20 @@
     private void handle(HttpServerRequest request) {
         long timeoutMs = TimeUnit.HOURS.toMillis(1);
         Future<?> read =
-                request.path().equals("/stream")
-                        ? BodyReader.stream(
-                                mVertx, request, 64 << 20, timeoutMs, this::addPart, () -> 1_000)
-                        : BodyReader.read(mVertx, request, 4 << 20, timeoutMs);
+                switch (request.path()) {
+                    case "/stream" ->
+                            BodyReader.stream(
+                                    mVertx,
+                                    request,
+                                    64 << 20,
+                                    timeoutMs,
+                                    this::addPart,
+                                    () -> 1_000);
+                    case "/checked" ->
+                            BodyReader.read(
+                                    mVertx, request, 4 << 20, CHECKED_TIMEOUT_MS, mHeadCheck);
+                    default -> BodyReader.read(mVertx, request, 4 << 20, timeoutMs);
+                };
         read.onSuccess(
                         body -> {
                             mHandled.add(request.path());
@@ -136,6 +148,17 @@
         return "POST /large HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + "b".repeat(bytes);
     }
 
+    /** Guards against a stop that waits for requests which it would refuse once they are read. */
+    @Test
+    void requestThatCannotBeServedAnyMoreIsRefusedWhileItIsRead() throws Exception {
+        mHeadCheck =
+                () -> {
+                    throw new Problem(ProblemType.NOT_READY, Step.ROUTE, "it stops");
+                };
+        String answer = read(send(serve(), "POST /checked HTTP/1.1\r\nContent-Length: 9\r\n\r\nb"));
+        assertTrue(answer.contains("not-ready"), answer);
+    }
+
     /** Guards against fields of forms, which no consumer gets, that are kept and not counted. */
     @Test
     void fieldsOfFormsCount() throws Exception {
