Notice callers that leave while their next request waits

Callers saw, since requests behind each other are decoded one by one: the call of a caller that had sent a further request and then left ran on, as the connection was not read any more.

Evidence: CallerMemoryTest#callerThatLeavesIsNoticedWhileItsNextRequestWaits failed before.

Reading stops only when 16 KiB of requests wait; what waits counts.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -51,6 +51,12 @@
     /** Least change of a body's memory that is recorded, bytes. */
     private static final long MIN_CHANGE_BYTES = 1_024;
 
+    /**
+     * Bytes of waiting requests from which no more are read. Below it the end of the connection is
+     * still noticed.
+     */
+    private static final int MAX_WAITING_BYTES = 16 << 10;
+
     /** Bytes of line ends between two requests that do not count as the start of a head. */
     private static final int MAX_STRAY_BYTES = 4;
 
@@ -83,6 +89,7 @@
     private boolean mInBody;
     private boolean mRejected;
     private boolean mIsWaiting;
+    private boolean mHasEnough;
 
     private RequestHeadDecoder(
             ChannelHandlerContext connectionCtx,
@@ -174,6 +181,7 @@
             }
             if (mMemory.hasUnanswered()) {
                 mIsWaiting = true;
+                mHasEnough = in.readableBytes() >= MAX_WAITING_BYTES;
                 record(in.capacity());
                 return;
             }
@@ -215,7 +223,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         super.channelReadComplete(ctx);
-        mPace.endRead(mIsWaiting);
+        mPace.endRead(mIsWaiting && mHasEnough);
     }
 
     /** Returns whether a request waits until the response to the one before it is sent. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -148,6 +149,22 @@
         return "POST /large HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + "b".repeat(bytes);
     }
 
+    /** Guards against a call that runs on for a caller that has left a further request behind. */
+    @Test
+    void callerThatLeavesIsNoticedWhileItsNextRequestWaits() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch accepted = new CountDownLatch(1);
+        mOnBody =
+                request -> {
+                    request.connection().closeHandler(v -> closed.countDown());
+                    accepted.countDown();
+                };
+        Socket caller = send(serve(), SMALL + SMALL);
+        assertTrue(accepted.await(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        caller.close();
+        assertTrue(closed.await(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+    }
+
     /** Guards against a stop that waits for requests which it would refuse once they are read. */
     @Test
     void requestThatCannotBeServedAnyMoreIsRefusedWhileItIsRead() throws Exception {
