Answer accepted calls when the next request is evicted

Callers saw: a caller that sent its next request while its call ran lost the connection, and so the answer to the call, when memory was short.

Cause: an evicted connection was closed at once when a response was still owed, and the budget forgot the accepted call with it.

Evidence: CallerMemoryTest#acceptedCallsAreAnsweredAlthoughTheNextRequestsAreEvicted and RequestMemoryTest#evictionOfTheNextRequestKeepsTheAcceptedCall failed before.

Only what is being read is given up. The accepted call keeps its memory, counts until its response is sent, and its connection is closed then. Connections with an accepted call are no victims of the limit on connections.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/limit/RequestMemory.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/limit/RequestMemory.java
@@ -21,10 +21,10 @@
  *
  * <p>A request counts while it is read and until its response is sent. When more is needed than the
  * limit, connections whose request is still being read are evicted; requests that have arrived
- * whole keep their memory. Connections are evicted that hold at least half the mean of their
- * address, of an address that holds at least half the mean of all: among them the slowest, then the
- * newest. So a single caller meets no share before the memory is used up. Safe for use by several
- * threads.
+ * whole keep their memory, and are answered also on an evicted connection. Connections are evicted
+ * that hold at least half the mean of their address, of an address that holds at least half the
+ * mean of all: among them the slowest, then the newest. So a single caller meets no share before
+ * the memory is used up. Safe for use by several threads.
  */
 public final class RequestMemory {
     /** Part of the memory that large requests leave to small ones, as a divisor. */
@@ -75,6 +75,7 @@
         private long mLastWindowBytes;
         private boolean mIsReading;
         private boolean mIsAnsweredEarly;
+        private boolean mIsEvicted;
         private boolean mIsGone;
 
         private Connection(String address, Runnable onEvicted, long number, long now) {
@@ -183,7 +184,7 @@
                         .min(Comparator.comparingLong(c -> c.mLastActiveAt))
                         .orElse(null);
         if (victim == null) {
-            victim = chooseAmong(c -> c.mIsReading);
+            victim = chooseAmong(c -> c.mIsReading && c.mUnansweredBytes.isEmpty());
         }
         if (victim == null) {
             victim = added;
@@ -198,7 +199,7 @@
 
     private synchronized List<Connection> read(
             Connection connection, long heldBytes, long receivedBytes) {
-        if (connection.mIsGone) {
+        if (connection.mIsGone || connection.mIsEvicted) {
             return List.of();
         }
         long now = mTicker.nanoTime();
@@ -265,9 +266,16 @@
         return group.stream().filter(connection -> connection.mReadBytes >= mean / SHARE_DIVISOR);
     }
 
+    /** Evicts a connection; one with unanswered requests keeps these, and counts until its end. */
     private void evict(Connection connection) {
         mEvictions++;
-        forget(connection);
+        connection.mIsEvicted = true;
+        if (connection.mUnansweredBytes.isEmpty()) {
+            forget(connection);
+        } else {
+            connection.mIsReading = false;
+            setReadBytes(connection, 0);
+        }
     }
 
     private void forget(Connection connection) {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/limit/RequestMemoryTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/limit/RequestMemoryTest.java
@@ -82,6 +82,25 @@
         assertTrue(mMemory.usedBytes() <= MAX_BYTES);
     }
 
+    /** Guards against an accepted call that loses its connection, or counts no more. */
+    @Test
+    void evictionOfTheNextRequestKeepsTheAcceptedCall() {
+        RequestMemory.Connection caller = open("caller");
+        caller.recordRead(10 * MIB, 10 * MIB);
+        caller.endRead();
+        caller.recordRead(20 * MIB, 20 * MIB);
+        caller.recordRead(30 * MIB, 10 * MIB);
+        assertEquals(List.of("caller"), mEvicted);
+        assertEquals(10 * MIB, mMemory.usedBytes());
+        assertEquals(1, mMemory.connections());
+        caller.recordRead(20 * MIB, MIB);
+        assertEquals(10 * MIB, mMemory.usedBytes(), "nothing more is read");
+        caller.endResponse();
+        caller.close();
+        assertEquals(0, mMemory.usedBytes());
+        assertEquals(0, mMemory.connections());
+    }
+
     /** Guards against a crowd at one address that takes the memory from all others. */
     @Test
     void addressesShareTheMemory() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -306,9 +306,8 @@
     }
 
     /**
-     * Gives up the request that is being read, and ends the connection. The caller gets a response,
-     * unless this would have to follow the response to another request, or the request has its
-     * response already.
+     * Gives up the request that is being read, and ends the connection: at once or after a response
+     * that says so, or after that to the call before it.
      */
     private void onEvicted() {
         mEvicted = true;
@@ -321,26 +320,29 @@
         Runnable onBodyEvicted = mOnBodyEvicted;
         boolean isHead = !mInBody && mTimer != null;
         boolean canRespond = isHead || mInBody && onBodyEvicted != null;
-        boolean mustWait = mMemory.hasUnanswered() || mMemory.isAnsweredEarly();
-        if (mRejected || !canRespond || mustWait) {
+        boolean hasAcceptedCall = mMemory.hasUnanswered();
+        if (hasAcceptedCall) {
+            // Only the next request is given up; the end of the connection is still noticed.
+            mPace.resume();
+        } else if (mRejected || !canRespond || mMemory.isAnsweredEarly()) {
             ctx.close();
         } else if (isHead || onBodyEvicted == null) {
             rejectHead(ctx, new EvictedException());
         } else {
             onBodyEvicted.run();
         }
-        releaseAll(ctx);
+        releaseAll(ctx, hasAcceptedCall);
     }
 
     /** Releases what the connection keeps of the request; it may stay open for the response. */
-    private void releaseAll(ChannelHandlerContext ctx) {
+    private void releaseAll(ChannelHandlerContext ctx, boolean hasAcceptedCall) {
         HttpMessage message = mMessage;
         if (message != null) {
             // The server keeps the message until the connection is closed.
             message.headers().clear();
         }
         if (!ctx.isRemoved()) {
-            ctx.pipeline().replace(this, HANDLER_NAME, new EvictedConnection());
+            ctx.pipeline().replace(this, HANDLER_NAME, new EvictedConnection(hasAcceptedCall));
         }
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -80,11 +80,16 @@
         }
     }
 
-    /** Lets the next request be decoded, not within the call stack of the one before it. */
+    /**
+     * Lets the next request be decoded, not within the call stack of the one before it; closes a
+     * connection that was evicted.
+     */
     private void onResponseSent(ChannelHandlerContext ctx) {
         mMemory.endResponse();
         RequestHeadDecoder decoder = ctx.pipeline().get(RequestHeadDecoder.class);
-        if (decoder != null && decoder.isWaiting()) {
+        if (ctx.pipeline().get(EvictedConnection.class) != null) {
+            ctx.close();
+        } else if (decoder != null && decoder.isWaiting()) {
             ctx.executor().execute(() -> decodeNext(ctx, decoder));
         }
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -31,11 +31,13 @@
     private static final int MAX_CONNECTIONS = 20;
     private static final int SOCKET_TIMEOUT_MS = 20_000;
     private static final int POLL_MS = 10;
+    private static final int MAX_READ_BYTES = 16 << 10;
+    private static final long EVICTED_CLOSE_MS = 1_000;
     private static final long CHECKED_TIMEOUT_MS = 4_000;
     private static final String SMALL = "POST /small HTTP/1.1\r\nContent-Length: 2\r\n\r\nab";
 
     private final Vertx mVertx = Vertx.vertx();
-    private final CallerMemory mMemory = new CallerMemory(Ticker.SYSTEM, MAX_BYTES, MAX_CONNECTIONS);
+    private CallerMemory mMemory = new CallerMemory(Ticker.SYSTEM, MAX_BYTES, MAX_CONNECTIONS);
     private final List<String> mHandled = new CopyOnWriteArrayList<>();
     private final List<Integer> mPartSizes = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new ArrayList<>();
@@ -149,6 +151,35 @@
         return "POST /large HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + "b".repeat(bytes);
     }
 
+    /** Guards against the loss of an accepted call when the memory is short for the next one. */
+    @Test
+    void acceptedCallsAreAnsweredAlthoughTheNextRequestsAreEvicted() throws Exception {
+        mMemory = new CallerMemory(Ticker.SYSTEM, MAX_BYTES / 8, MAX_CONNECTIONS);
+        List<HttpServerRequest> held = new CopyOnWriteArrayList<>();
+        mOnBody = held::add;
+        int port = serve();
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < MAX_CONNECTIONS - 2; i++) {
+            callers.add(send(port, SMALL));
+        }
+        while (held.size() < callers.size()) {
+            Thread.sleep(POLL_MS);
+        }
+        for (Socket caller : callers) {
+            caller.getOutputStream()
+                    .write(unfinishedBody(MAX_READ_BYTES).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        while (mMemory.evictions() == 0) {
+            Thread.sleep(POLL_MS);
+        }
+        await(mVertx.timer(EVICTED_CLOSE_MS * 2, TimeUnit.MILLISECONDS));
+        held.forEach(request -> mVertx.runOnContext(v -> request.response().end("whole")));
+        for (Socket caller : callers) {
+            String answer = read(caller);
+            assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("whole"), answer);
+        }
+    }
+
     /** Guards against a call that runs on for a caller that has left a further request behind. */
     @Test
     void callerThatLeavesIsNoticedWhileItsNextRequestWaits() throws Exception {
