Read no waiting requests of callers that have left

Callers saw, on the front end of the platform: a process ended after 300 clients that had sent requests behind each other with an unknown key, and had not read the refusals, closed their connections. An ordinary call waited for 14 and 15 s, and then got nothing.

Cause: when a connection is closed, the responses that are not yet sent fail. That let the next request be decoded, whose response failed in turn. The library keeps the requests that it gets on a closed connection: the heap dumped at the end held 42,665 of them, 142 a connection.

CallerMemoryTest#waitingRequestsOfCallersThatHaveLeftAreNotRead failed before.

Nothing is decoded any more once a connection is closed, whatever waits.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -170,7 +170,7 @@
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
             throws Exception {
-        if (mRejected || mEvicted) {
+        if (mRejected || mEvicted || !ctx.channel().isActive()) {
             in.skipBytes(in.readableBytes());
             return;
         }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -196,6 +196,25 @@
         assertTrue(closed.await(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** Guards against requests without a caller, which pile up once they are read. */
+    @Test
+    void waitingRequestsOfCallersThatHaveLeftAreNotRead() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch accepted = new CountDownLatch(1);
+        mOnBody =
+                request -> {
+                    request.connection().closeHandler(v -> closed.countDown());
+                    request.response().end("unread".repeat(1 << 20));
+                    accepted.countDown();
+                };
+        Socket caller = send(serve(), SMALL.repeat(20));
+        assertTrue(accepted.await(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        caller.close();
+        assertTrue(closed.await(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        await(mVertx.timer(EVICTED_CLOSE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(List.of("/small"), mHandled);
+    }
+
     /** Guards against a stop that waits for requests which it would refuse once they are read. */
     @Test
     void requestThatCannotBeServedAnyMoreIsRefusedWhileItIsRead() throws Exception {
