Serve other connections between requests behind each other

Cause: the next request of a connection was decoded by a task that the response before it executed. The loop runs tasks for up to a second before it looks at its connections again, and there were always more. Each step of a call waited for that, and so did the messages between nodes on which the customer's rate depends.

The next request is decoded in a later pass of the loop, and in turn with others when the connection's work of late was much, as reading is.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadPace.java
@@ -81,6 +81,19 @@
         read();
     }
 
+    /**
+     * Runs a task that decodes what has been read already: in a later pass of the loop, and in turn
+     * when the connection's work of late was much. A task that is executed instead runs in the same
+     * pass, and the loop does not look at other connections while there are tasks.
+     */
+    void decodeLater(Runnable task) {
+        if (mWork > FREE_WORK) {
+            mTurns.await(mWork, task);
+        } else {
+            mChannel.eventLoop().schedule(task, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** Reads on after a read that brought enough. */
     void resume() {
         if (mIsStopped) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -226,6 +226,11 @@
         mPace.endRead(mIsWaiting && mHasEnough);
     }
 
+    /** Runs a task that decodes the next request, after other connections had a chance. */
+    void decodeLater(Runnable task) {
+        mPace.decodeLater(task);
+    }
+
     /** Returns whether a request waits until the response to the one before it is sent. */
     boolean isWaiting() {
         return mIsWaiting;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -90,7 +90,7 @@
         if (ctx.pipeline().get(EvictedConnection.class) != null) {
             ctx.close();
         } else if (decoder != null && decoder.isWaiting()) {
-            ctx.executor().execute(() -> decodeNext(ctx, decoder));
+            decoder.decodeLater(() -> decodeNext(ctx, decoder));
         }
     }
 
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/ReadPaceTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/ReadPaceTest.java
@@ -3,9 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
@@ -29,6 +34,12 @@
     private static final int SMALL_CLIENTS = 10;
     private static final String CHUNK = "1\r\nc\r\n";
     private static final int CHUNKS = 100_000;
+    private static final String PIPELINED = "GET /pipelined HTTP/1.1\r\n\r\n";
+    private static final int PIPELINED_REQUESTS = 10_000;
+
+    /** Passes of the loop that a request with a connection of its own takes, at most. */
+    private static final int MAX_PASSES = 20;
+
     private static final int MAX_READ_BYTES = 16 << 10;
     private static final long TIMEOUT_MS = TimeUnit.HOURS.toMillis(1);
     private static final int FULL_AFTER_MS = 50;
@@ -37,6 +48,7 @@
     private final CallerMemory mMemory = new CallerMemory(Ticker.SYSTEM);
     private final List<SocketChannel> mSockets = new ArrayList<>();
     private final AtomicLong mStreamedBytes = new AtomicLong();
+    private final AtomicLong mPipelined = new AtomicLong();
     private final List<Long> mStreamedBefore = new CopyOnWriteArrayList<>();
     private final CountDownLatch mSmallHandled = new CountDownLatch(SMALL_CLIENTS);
 
@@ -70,6 +82,11 @@
             BodyReader.stream(mVertx, request, 64 << 20, TIMEOUT_MS, this::countStreamed, () -> 0);
             return;
         }
+        if (request.path().equals("/pipelined")) {
+            mPipelined.incrementAndGet();
+            request.response().end();
+            return;
+        }
         mStreamedBefore.add(mStreamedBytes.get());
         request.response().end();
         mSmallHandled.countDown();
@@ -115,6 +132,37 @@
                 bytes -> assertTrue(bytes <= oneReadEach, bytes + " before a small request"));
     }
 
+    /** Guards against a loop that looks at no connection while requests wait behind each other. */
+    @Test
+    void smallRequestsDoNotWaitForThoseBehindEachOther() throws Exception {
+        int port = serve();
+        CountDownLatch allSent = new CountDownLatch(1);
+        mVertx.runOnContext(v -> awaitOnLoop(allSent));
+        for (int i = 0; i < COSTLY_CLIENTS; i++) {
+            send(port, PIPELINED.repeat(PIPELINED_REQUESTS));
+        }
+        HttpClient client = mVertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+        allSent.countDown();
+        for (int i = 0; i < SMALL_CLIENTS; i++) {
+            long count = await(countPipelinedDuring(client, port));
+            assertTrue(count <= COSTLY_CLIENTS * MAX_PASSES, count + " before a small request");
+        }
+    }
+
+    /** Sends a small request from the loop that serves it; counts what else is served before. */
+    private Future<Long> countPipelinedDuring(HttpClient client, int port) {
+        Promise<Long> promise = Promise.promise();
+        mVertx.runOnContext(
+                v -> {
+                    long start = mPipelined.get();
+                    client.request(HttpMethod.GET, port, "127.0.0.1", "/small")
+                            .compose(HttpClientRequest::send)
+                            .map(response -> mPipelined.get() - start)
+                            .onComplete(promise);
+                });
+        return promise.future();
+    }
+
     private static void awaitOnLoop(CountDownLatch latch) {
         try {
             latch.await();
