Let callers that still send read why they are refused

Callers saw: a client that was refused for lack of memory while it sent its body met a reset ("Broken pipe") and could lose the 503 that says that nothing was run.

Cause: the connection was closed right after the response, with bytes unread or on their way. The system answers these with a reset, which discards what the client has not read yet.

When more of a request is due, the output ends first, and what arrives is discarded until the client closes the connection, for a second at most. A thirty-second of the connections and one more may linger, so that they don't keep others from being accepted.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.regex.Matcher;
@@ -51,6 +52,9 @@
     /** Divisor of the number of connections: share of those that wait or are being closed. */
     private static final int ACCEPTED_DIVISOR = 16;
 
+    /** Divisor of the number of connections: those that stay open after their last response. */
+    private static final int LINGERING_DIVISOR = 32;
+
     private static final long RETRY_AFTER_MS = 1_000;
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
@@ -59,6 +63,8 @@
     private final Ticker mTicker;
     private final RequestMemory mRequests;
     private final int mMaxAccepted;
+    private final int mMaxLingering;
+    private final AtomicInteger mLingering = new AtomicInteger();
     private final int mLargeReceiveBuffers;
     private final Map<EventLoop, ReadTurns> mTurns = new ConcurrentHashMap<>();
     private final LongAdder mGivenTurns = new LongAdder();
@@ -86,6 +92,7 @@
                 new RequestMemory(
                         ticker, maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR, connections);
         mMaxAccepted = connections + connections / ACCEPTED_DIVISOR + 1;
+        mMaxLingering = connections / LINGERING_DIVISOR + 1;
         mLargeReceiveBuffers =
                 (int) (heapBytes / RECEIVE_BUFFERS_DIVISOR / (2 * RECEIVE_BUFFER_BYTES));
         mLastLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
@@ -129,6 +136,20 @@
         }
     }
 
+    /**
+     * Records that a connection stays open for a while after its last response, until it is closed.
+     *
+     * @return whether it may; too many would keep others from being accepted
+     */
+    boolean linger(Channel channel) {
+        if (mLingering.incrementAndGet() > mMaxLingering) {
+            mLingering.decrementAndGet();
+            return false;
+        }
+        channel.closeFuture().addListener(f -> mLingering.decrementAndGet());
+        return true;
+    }
+
     /** Adds a connection; {@code onEvicted} ends it, and runs on its event loop. */
     RequestMemory.Connection open(Channel channel, Runnable onEvicted) {
         SocketAddress remote = channel.remoteAddress();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -120,7 +120,9 @@
         memory.limitAccepted(ctx.channel());
         RequestHeadDecoder decoder = new RequestHeadDecoder(ctx, options, timeoutMs, memory);
         ctx.pipeline().replace(HANDLER_NAME, HANDLER_NAME, decoder);
-        ctx.pipeline().addAfter(ENCODER_NAME, PIPELINE_NAME, new RequestPipeline(decoder.mMemory));
+        ctx.pipeline()
+                .addAfter(
+                        ENCODER_NAME, PIPELINE_NAME, new RequestPipeline(decoder.mMemory, memory));
         connection.exceptionHandler(FatalErrors::endProcessIfFatal);
     }
 
@@ -231,6 +233,11 @@
         mPace.decodeLater(task);
     }
 
+    /** Returns whether more of a request is due that has been answered or given up. */
+    boolean isReceiving() {
+        return mInBody || mRejected || mEvicted;
+    }
+
     /** Returns whether a request waits until the response to the one before it is sent. */
     boolean isWaiting() {
         return mIsWaiting;
@@ -347,7 +354,7 @@
             message.headers().clear();
         }
         if (!ctx.isRemoved()) {
-            ctx.pipeline().replace(this, HANDLER_NAME, new EvictedConnection(hasAcceptedCall));
+            InputDiscarder.replace(ctx.pipeline(), this, hasAcceptedCall);
         }
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -3,8 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -18,20 +20,31 @@
 /**
  * Copies small chunks of a request's body together, and records when responses are sent. Each chunk
  * that is passed on costs some hundred bytes besides its own while the request is paused.
+ *
+ * <p>When a connection is closed after the response to a request of which more is due, its output
+ * ends at once, and its input is discarded until the caller closes it, for a second at most. If it
+ * was closed at once, the caller would meet a reset while it sends, and lose the response.
  */
 final class RequestPipeline extends ChannelDuplexHandler {
     private static final int SMALL_CHUNK_BYTES = 1_024;
     private static final int MAX_MERGED_BYTES = 16 << 10;
 
     private final RequestMemory.Connection mMemory;
+    private final CallerMemory mCallers;
     private @Nullable ByteBuf mMerged;
+    private boolean mHasResponded;
+    private boolean mLingers;
 
-    RequestPipeline(RequestMemory.Connection memory) {
+    RequestPipeline(RequestMemory.Connection memory, CallerMemory callers) {
         mMemory = memory;
+        mCallers = callers;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof HttpMessage) {
+            mHasResponded = false;
+        }
         if (!(message instanceof HttpContent content) || !isSmallPart(content)) {
             flushMerged(ctx);
             ctx.fireChannelRead(message);
@@ -86,9 +99,10 @@
      */
     private void onResponseSent(ChannelHandlerContext ctx) {
         mMemory.endResponse();
+        mHasResponded = true;
         RequestHeadDecoder decoder = ctx.pipeline().get(RequestHeadDecoder.class);
-        if (ctx.pipeline().get(EvictedConnection.class) != null) {
-            ctx.close();
+        if (ctx.pipeline().get(InputDiscarder.class) != null) {
+            close(ctx, ctx.newPromise());
         } else if (decoder != null && decoder.isWaiting()) {
             decoder.decodeLater(() -> decodeNext(ctx, decoder));
         }
@@ -102,6 +116,33 @@
         }
     }
 
+    @Override
+    public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+        if (!mLingers && !beginLinger(ctx)) {
+            ctx.close(promise);
+            return;
+        }
+        ctx.channel().closeFuture().addListener(f -> promise.trySuccess());
+    }
+
+    /** Ends the output and discards the input if more is due; returns whether it does so. */
+    private boolean beginLinger(ChannelHandlerContext ctx) {
+        RequestHeadDecoder decoder = ctx.pipeline().get(RequestHeadDecoder.class);
+        ChannelHandler input = decoder != null ? decoder : ctx.pipeline().get(InputDiscarder.class);
+        boolean isReceiving = decoder == null || decoder.isReceiving();
+        if (!mHasResponded || input == null || !isReceiving || !ctx.channel().isActive()) {
+            return false;
+        }
+        if (!(ctx.channel() instanceof SocketChannel socket) || !mCallers.linger(socket)) {
+            return false;
+        }
+        mLingers = true;
+        InputDiscarder.replace(ctx.pipeline(), input, false);
+        socket.shutdownOutput();
+        socket.config().setAutoRead(true);
+        return true;
+    }
+
     private static boolean isInterim(Object message) {
         return message instanceof FullHttpResponse response
                 && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
