Read parsed bodies field by field

Callers saw: one client that sent one legal body of 4 MiB ended a process with a heap of 96 MB: a job whose items are 1.4 million times {}, or values that are nested 58 levels deep; on the product's API the same as a call of a model.

Cause: the whole body became a tree of maps, which the budget does not count and of which a few fields were used.

Evidence: ClientCrowdTest#bodiesOfManyValuesDoNotExhaustTheMemory failed on both front ends with the first of its 13 bodies; all are answered now. The digests of prompts stay the same (CompletionBodyTest), as does what JobApiTest checks of jobs.

Bodies of jobs and of model calls are read token by token, and only fields that are used are kept.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/batch/BatchRunner.java
@@ -36,7 +36,7 @@
 import org.sesamepin.node.peer.generated.ItemRenewal;
 import org.sesamepin.node.peer.generated.PeerRequest;
 import org.sesamepin.node.peer.generated.PullItems;
-import org.sesamepin.node.prompt.CompletionPrompt;
+import org.sesamepin.node.prompt.CompletionBody;
 import org.sesamepin.node.prompt.LostConnections;
 import org.sesamepin.node.prompt.LostTarget;
 import org.sesamepin.node.prompt.QuarantineProblems;
@@ -81,7 +81,7 @@
         RunningItem(BatchItem item, Target target, long slotId) {
             mItem = item;
             mTarget = target;
-            mPrompt = CompletionPrompt.partsOf(Buffer.buffer(item.getBody()).toJsonObject());
+            mPrompt = CompletionBody.parse(Buffer.buffer(item.getBody()).toString()).promptParts();
             mSlotId = slotId;
         }
     }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
-import io.vertx.core.json.JsonObject;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.bundle.Model;
@@ -18,14 +17,13 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.prompt.PromptQuarantine;
-import org.sesamepin.node.http.BoundedJson;
 import org.sesamepin.node.http.EventOrder;
 import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.http.ResponseMemory;
-import org.sesamepin.node.prompt.CompletionPrompt;
+import org.sesamepin.node.prompt.CompletionBody;
 import org.sesamepin.node.prompt.QuarantineProblems;
 import org.sesamepin.node.slot.SlotLease;
 import org.sesamepin.node.spi.TargetProtocol;
@@ -48,7 +46,7 @@
     private final EventStreamParser mParser = new EventStreamParser(this::forwardEvent);
     private final EventOrder mEventOrder = new EventOrder();
     private Buffer mBody = Buffer.buffer();
-    private JsonObject mRequestJson = new JsonObject();
+    private @Nullable CompletionBody mParsedBody;
     private @Nullable Model mModel;
     private @Nullable CallPrompt mPrompt;
     private @Nullable HttpClientRequest mTargetRequest;
@@ -77,9 +75,10 @@
     }
 
     private Future<Void> parseBody(Buffer body) {
+        CompletionBody parsed;
         try {
-            mRequestJson = BoundedJson.parseObject(body.toString());
-        } catch (DecodeException | ClassCastException e) {
+            parsed = CompletionBody.parse(body.toString());
+        } catch (DecodeException e) {
             return Future.failedFuture(
                     new Problem(
                             ProblemType.MALFORMED_REQUEST,
@@ -87,8 +86,9 @@
                             "the body is not a JSON object"));
         }
         mBody = body;
-        Object modelName = mRequestJson.getValue("model");
-        mModel = modelName == null ? null : caller().bundle().models().get(modelName.toString());
+        mParsedBody = parsed;
+        String modelName = parsed.model();
+        mModel = modelName == null ? null : caller().bundle().models().get(modelName);
         if (mModel == null) {
             String knownModels = caller().bundle().models().keySet().toString();
             return Future.failedFuture(
@@ -99,7 +99,7 @@
                 new CallPrompt(
                         mOnlineContext.promptGuard(),
                         model().name(),
-                        CompletionPrompt.partsOf(mRequestJson),
+                        parsed.promptParts(),
                         mRequestId);
         return Future.succeededFuture();
     }
@@ -138,9 +138,9 @@
     }
 
     private long estimatedTokens() {
-        Object maxTokens = mRequestJson.getValue("max_tokens");
+        CompletionBody parsed = mParsedBody;
         int responseTokens =
-                maxTokens instanceof Number number ? number.intValue() : DEFAULT_MAX_TOKENS;
+                parsed == null ? DEFAULT_MAX_TOKENS : parsed.maxTokens(DEFAULT_MAX_TOKENS);
         return mBody.length() / CHARS_PER_TOKEN + Math.max(1, responseTokens);
     }
 
@@ -191,7 +191,8 @@
     }
 
     private void checkProgress(int attempt, SlotLease lease) {
-        boolean streaming = Boolean.TRUE.equals(mRequestJson.getValue("stream"));
+        CompletionBody parsed = mParsedBody;
+        boolean streaming = parsed != null && parsed.isStreaming();
         long limitMs = streaming ? model().progressTimeoutMs() : model().requestTimeoutMs();
         long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mLastProgressNanos);
         boolean waitsForCaller = mRequest.response().writeQueueFull();
