Bound the responses that callers do not read, of any kind

Callers saw nothing yet; found while reading: pages of results and bodies of items of jobs, up to a megabyte and more each, were written at once and counted as 4 kB, so that clients with a key that ask for them and do not read could take the heap. Answers of targets were counted, these were not.

Evidence: CallerMemoryTest#unreadResponsesAreBounded failed before: 18 responses of 16 MiB waited, and no connection was closed.

What is written to a connection and not sent counts, from 16 KiB on, whatever wrote it. Beyond an eighth of the heap over all connections, the one with the most is closed, as with answers of targets. It closes at once: the server's own way to close would send what waits first. sesamepin_unread_closed and step=respond outcome=unread-closed show it.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/admin/NodeMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/admin/NodeMetrics.java
@@ -89,6 +89,10 @@
                 "sesamepin_read_turns",
                 "Turns to be read of connections with costly requests.",
                 memory::readTurns);
+        registerCounter(
+                "sesamepin_unread_closed",
+                "Connections of callers closed since their responses were not read.",
+                memory::unreadClosed);
     }
 
     private void registerCounter(String name, String help, LongSupplier value) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -25,8 +25,8 @@
 
 /**
  * The memory that requests of callers take in this process, with limits that derive from its heap
- * and its descriptors. Logs at most one line per second about connections that are evicted, and
- * about a listener that stops to accept.
+ * and its descriptors. Logs at most one line per second about connections that are evicted, about a
+ * listener that stops to accept, and about callers that do not read.
  */
 public final class CallerMemory {
     private static final Logger LOG = LoggerFactory.getLogger(CallerMemory.class);
@@ -49,6 +49,9 @@
     /** Divisor of the maximum heap size: share of the larger receive buffers. */
     private static final int RECEIVE_BUFFERS_DIVISOR = 8;
 
+    /** Divisor of the memory of requests: that of responses which callers do not read. */
+    private static final int UNSENT_DIVISOR = 2;
+
     /** Divisor of the number of connections: share of those that wait or are being closed. */
     private static final int ACCEPTED_DIVISOR = 16;
 
@@ -62,6 +65,7 @@
 
     private final Ticker mTicker;
     private final RequestMemory mRequests;
+    private final ResponseMemory mUnsent;
     private final int mMaxAccepted;
     private final int mMaxLingering;
     private final AtomicInteger mLingering = new AtomicInteger();
@@ -71,6 +75,8 @@
     private final LongAdder mAcceptStops = new LongAdder();
     private final AtomicLong mLastLogAt;
     private final AtomicLong mLastStopLogAt;
+    private final LongAdder mUnreadClosed = new LongAdder();
+    private final AtomicLong mLastUnreadLogAt;
 
     /** Creates an instance with the limits of this process. */
     public CallerMemory(Ticker ticker) {
@@ -88,15 +94,16 @@
         long heapBytes = Runtime.getRuntime().maxMemory();
         int connections = maxConnections > 0 ? maxConnections : maxConnections(heapBytes);
         mTicker = ticker;
-        mRequests =
-                new RequestMemory(
-                        ticker, maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR, connections);
+        long requestBytes = maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR;
+        mRequests = new RequestMemory(ticker, requestBytes, connections);
+        mUnsent = new ResponseMemory(requestBytes / UNSENT_DIVISOR);
         mMaxAccepted = connections + connections / ACCEPTED_DIVISOR + 1;
         mMaxLingering = connections / LINGERING_DIVISOR + 1;
         mLargeReceiveBuffers =
                 (int) (heapBytes / RECEIVE_BUFFERS_DIVISOR / (2 * RECEIVE_BUFFER_BYTES));
         mLastLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
         mLastStopLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
+        mLastUnreadLogAt = new AtomicLong(ticker.nanoTime() - LOG_INTERVAL_NANOS);
     }
 
     /** Returns three quarters of the descriptors, unless the heap allows fewer connections. */
@@ -150,6 +157,21 @@
         return true;
     }
 
+    /** Returns what holds the unsent bytes of a connection; {@code onRevoked} closes it. */
+    ResponseMemory.Holder newUnsent(Runnable onRevoked) {
+        return mUnsent.newHolder(
+                () -> {
+                    mUnreadClosed.increment();
+                    if (isLogDue(mLastUnreadLogAt)) {
+                        LOG.warn(
+                                "step=respond outcome=unread-closed closed={} unsent_bytes={}",
+                                mUnreadClosed.sum(),
+                                mUnsent.usedBytes());
+                    }
+                    onRevoked.run();
+                });
+    }
+
     /** Adds a connection; {@code onEvicted} ends it, and runs on its event loop. */
     RequestMemory.Connection open(Channel channel, Runnable onEvicted) {
         SocketAddress remote = channel.remoteAddress();
@@ -235,6 +257,11 @@
         return mAcceptStops.sum();
     }
 
+    /** Returns how many connections were closed since their callers did not read responses. */
+    public long unreadClosed() {
+        return mUnreadClosed.sum();
+    }
+
     /** Returns how many turns to be read connections with costly requests have got so far. */
     public long readTurns() {
         return mGivenTurns.sum();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestHeadDecoder.java
@@ -122,7 +122,9 @@
         ctx.pipeline().replace(HANDLER_NAME, HANDLER_NAME, decoder);
         ctx.pipeline()
                 .addAfter(
-                        ENCODER_NAME, PIPELINE_NAME, new RequestPipeline(decoder.mMemory, memory));
+                        ENCODER_NAME,
+                        PIPELINE_NAME,
+                        new RequestPipeline(ctx, decoder.mMemory, memory));
         connection.exceptionHandler(FatalErrors::endProcessIfFatal);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -3,8 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -29,15 +32,31 @@
     private static final int SMALL_CHUNK_BYTES = 1_024;
     private static final int MAX_MERGED_BYTES = 16 << 10;
 
+    /** Unsent bytes of a connection from which they count; most responses are sent at once. */
+    private static final int MIN_UNSENT_BYTES = 16 << 10;
+
     private final RequestMemory.Connection mMemory;
     private final CallerMemory mCallers;
+    private final ResponseMemory.Holder mUnsent;
     private @Nullable ByteBuf mMerged;
     private boolean mHasResponded;
     private boolean mLingers;
 
-    RequestPipeline(RequestMemory.Connection memory, CallerMemory callers) {
+    RequestPipeline(
+            ChannelHandlerContext connectionCtx,
+            RequestMemory.Connection memory,
+            CallerMemory callers) {
         mMemory = memory;
         mCallers = callers;
+        mUnsent = callers.newUnsent(() -> closeAtOnce(connectionCtx.pipeline()));
+    }
+
+    /** Closes a connection although responses are not sent; the server would send them first. */
+    private void closeAtOnce(ChannelPipeline pipeline) {
+        ChannelHandlerContext ctx = pipeline.context(this);
+        if (ctx != null) {
+            ctx.close();
+        }
     }
 
     @Override
@@ -85,12 +104,22 @@
 
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-        if (message instanceof LastHttpContent && !isInterim(message)) {
-            // A caller that does not read leaves its responses in the process.
-            ctx.write(message, promise.unvoid()).addListener(f -> onResponseSent(ctx));
-        } else {
-            ctx.write(message, promise);
+        boolean isLast = message instanceof LastHttpContent && !isInterim(message);
+        ChannelFuture written = ctx.write(message, promise.unvoid());
+        // A caller that does not read leaves its responses in the process.
+        long unsent = unsentBytes(ctx);
+        if (unsent >= MIN_UNSENT_BYTES) {
+            mUnsent.resize(unsent);
+            written.addListener(f -> mUnsent.resize(unsentBytes(ctx)));
         }
+        if (isLast) {
+            written.addListener(f -> onResponseSent(ctx));
+        }
+    }
+
+    private static long unsentBytes(ChannelHandlerContext ctx) {
+        ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
     /**
@@ -152,6 +181,7 @@
     public void handlerRemoved(ChannelHandlerContext ctx) {
         ReferenceCountUtil.release(mMerged);
         mMerged = null;
+        mUnsent.release();
         mMemory.close();
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ResponseMemory.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 
 /**
- * Bounds the memory that incomplete and unsent responses of targets take in this process, over all
- * connections together. When they need more, the largest ones are given up, so that faulty targets
- * do not take the memory of responses of ordinary size.
+ * Bounds the memory that incomplete and unsent responses take in this process, over all connections
+ * together. When they need more, the largest ones are given up, so that faulty targets and callers
+ * that do not read do not take the memory of responses of ordinary size.
  */
 public final class ResponseMemory {
     /** Divisor of the maximum heap size; the rest is for requests, jobs and copies of responses. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/ServingMetrics.java
@@ -93,6 +93,10 @@
                 "sesamepin_read_turns",
                 "Turns to be read of connections with costly requests.",
                 memory::readTurns);
+        counter(
+                "sesamepin_unread_closed",
+                "Connections of callers closed since their responses were not read.",
+                memory::unreadClosed);
     }
 
     /** Counts a finished request. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -165,6 +165,32 @@
         return "POST /large HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + "b".repeat(bytes);
     }
 
+    /** Guards against responses of any kind that nobody reads and that take all memory. */
+    @Test
+    void unreadResponsesAreBounded() throws Exception {
+        int maxBytes = 64 << 20;
+        mMemory = new CallerMemory(Ticker.SYSTEM, maxBytes, MAX_CONNECTIONS);
+        Buffer large = Buffer.buffer(new byte[maxBytes / 4]);
+        Semaphore handled = new Semaphore(0);
+        Semaphore closed = new Semaphore(0);
+        mOnBody =
+                request -> {
+                    request.connection().closeHandler(v -> closed.release());
+                    request.response().end(large);
+                    handled.release();
+                };
+        int port = serve();
+        int callers = MAX_CONNECTIONS - 2;
+        for (int i = 0; i < callers; i++) {
+            send(port, SMALL);
+        }
+        assertTrue(handled.tryAcquire(callers, SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        // At most the memory of two of them may remain, and what the system takes.
+        assertTrue(closed.tryAcquire(callers - 4, SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        mOnBody = request -> request.response().end("whole");
+        assertTrue(read(send(port, SMALL)).endsWith("whole"));
+    }
+
     /** Guards against a refusal that a caller loses in a reset, since it is still sending. */
     @Test
     void evictedCallerThatStillSendsGetsItsRefusal() throws Exception {
@@ -235,6 +261,7 @@
     /** Guards against requests without a caller, which pile up once they are read. */
     @Test
     void waitingRequestsOfCallersThatHaveLeftAreNotRead() throws Exception {
+        mMemory = new CallerMemory(Ticker.SYSTEM, 1 << 30, MAX_CONNECTIONS);
         CountDownLatch closed = new CountDownLatch(1);
         CountDownLatch accepted = new CountDownLatch(1);
         mOnBody =
