--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/RequestPipeline.java
@@ -107,19 +107,24 @@
         boolean isLast = message instanceof LastHttpContent && !isInterim(message);
         ChannelFuture written = ctx.write(message, promise.unvoid());
         // A caller that does not read leaves its responses in the process.
-        long unsent = unsentBytes(ctx);
-        if (unsent >= MIN_UNSENT_BYTES) {
-            mUnsent.resize(unsent);
-            written.addListener(f -> mUnsent.resize(unsentBytes(ctx)));
+        if (unsentBytes(ctx) > 0) {
+            recordUnsent(ctx);
+            written.addListener(f -> recordUnsent(ctx));
         }
         if (isLast) {
             written.addListener(f -> onResponseSent(ctx));
         }
     }
 
+    private void recordUnsent(ChannelHandlerContext ctx) {
+        mUnsent.resize(unsentBytes(ctx));
+    }
+
+    /** Returns the size of what waits to be sent; 0 when that is little. */
     private static long unsentBytes(ChannelHandlerContext ctx) {
         ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        long bytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return bytes < MIN_UNSENT_BYTES ? 0 : bytes;
     }
 
     /**
