Drop what is kept of a body when it is given up

Cause (by reading): since a refused connection may stay open for a second, and the reader of its body kept up to 4 MiB until then, which the budget no longer counts.

The reader lets go of what it has read when it gives a body up.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BodyReader.java
@@ -256,6 +256,9 @@
         if (mIsRefused) {
             return;
         }
+        // The connection may stay open for a while, and does not count any more.
+        mParts = part -> {};
+        mHeldBytes = () -> 0;
         mRequest.handler(null);
         if (!mRequest.response().headWritten()) {
             mRequest.response().putHeader("Connection", "close");
