Bound the waits of a test, and say what a newcomer would ask

Read in the diff. CallerMemoryTest waited in loops without an end: three minutes a test now. ReadTurns also gives turns to decode.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/BoundedJson.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/BoundedJson.java
@@ -10,7 +10,7 @@
  */
 public final class BoundedJson {
     /** Levels of nesting; far more than any message has, and few enough for a small stack. */
-    private static final int MAX_DEPTH = 64;
+    static final int MAX_DEPTH = 64;
 
     private BoundedJson() {}
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/JsonFields.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/JsonFields.java
@@ -13,10 +13,11 @@
 
 /**
  * Reads JSON of callers field by field, so that only what is used is kept. As a tree, a body of
- * many small values takes some thirty times its size.
+ * many small values takes a multiple of its size.
  */
 public final class JsonFields {
-    private static final int MAX_DEPTH = 64;
+    /** Levels of nesting, as for {@link BoundedJson}. */
+    private static final int MAX_DEPTH = BoundedJson.MAX_DEPTH;
 
     /** Names are not kept from one text to the next: callers may send any number of them. */
     private static final JsonFactory FACTORY =
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadTurns.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/ReadTurns.java
@@ -8,9 +8,10 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * Lets the connections of one event loop read in turns when they cost much work. One connection
- * gets a turn between two passes of the loop over all connections that are ready: that with the
- * least work of late, then that which waits for longest. Confined to the event loop.
+ * Lets the connections of one event loop read, and decode what waits, in turns when they cost much
+ * work. One connection gets a turn between two passes of the loop over all connections that are
+ * ready: that with the least work of late, then that which waits for longest. Confined to the event
+ * loop.
  */
 final class ReadTurns {
     private final EventLoop mEventLoop;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/CallerMemoryTest.java
@@ -24,10 +24,12 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.time.Ticker;
 
 /** Sends requests over sockets to a server with little memory for them. */
+@Timeout(value = 3, unit = TimeUnit.MINUTES)
 class CallerMemoryTest {
     private static final int MAX_BYTES = 1 << 20;
     private static final int MAX_CONNECTIONS = 20;
