--- a/review/standin2/Engine.java
+++ b/review/standin2/Engine.java
@@ -37,6 +37,9 @@
     private final int mSlots;
     private final int mQueue;
     private final Semaphore mFree;
+    /** Version of its software. */
+    volatile String mVersion = "v1";
+
     volatile long mEventMs = 20;
 
     /** Time from the begin of a run to its first event, less the time of an event. */
@@ -77,7 +80,7 @@
                                                 + ":"
                                                 + mAddress.getPort(),
                                 "zone", mZone,
-                                "version", "v1",
+                                "version", mVersion,
                                 "capacity", mSlots,
                                 "state", state,
                                 "coldLeftMs", 0,
--- a/review/standin2/Setup.java
+++ b/review/standin2/Setup.java
@@ -61,6 +61,20 @@
                                 "public", false,
                                 "sticky", true,
                                 "resumable", false,
+                                "gapAimMs", 250),
+                        Platform.map(
+                                "name", "r-resumable",
+                                "host", Fleet.HOST,
+                                "prefix", "/again/",
+                                "kind", "streaming",
+                                "timeoutMs", 5_000,
+                                "targetLatencyMs", 300,
+                                "priority", 0,
+                                "service", "llm",
+                                "maxAttempts", 2,
+                                "public", false,
+                                "sticky", true,
+                                "resumable", true,
                                 "gapAimMs", 250));
         Object engine =
                 Platform.map(
