--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# See claim.txt. With TROUBLE=0 the disruption is left out.
+# See claim.txt. With TROUBLE=0 no event begins with a line break.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-case.sh" TakeUpCase "$here"
+exec "$here/../run-case.sh" LineBreakCase "$here"
