Hold no item back by its id, and none for longer than it has

Cause: the id of an item counted as a part of prompts that may end targets. Three ends under it held it back; three failed probes, each at a target that ended alone, made that a certainty and let it wait for 90 s. The same ends accused the shared part of its prompt, so its id alone was not the cause.

- No id of an item is a suspect; entries of earlier builds are not adopted but removed from the store, which lifts them at older hosts, too.
- Ends that one item explains accuse no part of its prompt.
- Items wait for 8 s between two probes of a part at most, however many failed.
Requests of callers keep their schedule.
- An item whose runs break as they begin backs off, up to 4 s.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -18,8 +18,6 @@
  * as published once the store holds them. Not thread-safe.
  */
 public final class JobProgress {
-    private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
-
     /** Time for which an item with events waits for a target of the software that wrote them. */
     private static final long SOFTWARE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -43,6 +41,11 @@
         private long mRetryAt;
         private boolean mBackingOff;
         private int mFailures;
+        private long mRunEvents;
+
+        /** Runs in a row that broke as they began. */
+        private int mBrokenRuns;
+
         private boolean mStarted;
         private long mFirstStartedAt;
 
@@ -228,6 +231,7 @@
         Item item = mItems.get(index);
         item.mState = State.RUNNING;
         item.mRunStartedAt = now;
+        item.mRunEvents = 0;
         if (!item.mStarted) {
             item.mStarted = true;
             item.mFirstStartedAt = now;
@@ -250,6 +254,7 @@
         }
         item.mOutput.append(data);
         item.mLastEventId = id;
+        item.mRunEvents++;
     }
 
     /** Reopens an item that was suspended or that its target did not accept; it can run at once. */
@@ -261,8 +266,24 @@
     public void recordInterruption(int index, long now) {
         Item item = mItems.get(index);
         reopen(item, now);
+        backOff(item, now, BackOff.FIRST_DELAY_NANOS);
+    }
+
+    /**
+     * Reopens an item whose run its target began and broke off. It can run again after a back-off,
+     * which grows with the runs in a row that broke as they began: that bounds the targets that an
+     * item can end, and the time that one waits which met their ends by chance.
+     */
+    public void recordBrokenRun(int index, long now) {
+        Item item = mItems.get(index);
+        reopen(item, now);
+        item.mBrokenRuns = BackOff.hasBegunOnly(item.mRunEvents) ? item.mBrokenRuns + 1 : 0;
+        backOff(item, now, BackOff.delayNanos(item.mBrokenRuns));
+    }
+
+    private static void backOff(Item item, long now, long delayNanos) {
         item.mBackingOff = true;
-        item.mRetryAt = now + RETRY_DELAY_NANOS;
+        item.mRetryAt = now + delayNanos;
     }
 
     /** Keeps an item from running before {@code until}, a reading of the monotonic clock. */
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/ProbeSchedule.java
@@ -4,10 +4,10 @@
 
 /**
  * Decides how long items wait for the next probe of a quarantine. An accepted item has to be done
- * soon after the last disruption, so the wait depends on the probes that <em>failed</em> only:
- * those under which their target ended, and no other target without the suspected parts. A probe
- * that was not sent, was preempted, or was lost with its host or by an outage of several targets
- * says nothing and lengthens no wait.
+ * soon after the last disruption, so no number of failed probes makes it wait for longer than
+ * {@link #MAX_WAIT_MS}: chance alone ends several targets in a row under a sound item. A probe has
+ * failed when its target ended, and no other target without the suspected parts. One that was not
+ * sent, was preempted, or was lost with its host or by an outage of several targets says nothing.
  */
 public final class ProbeSchedule {
     /**
@@ -19,16 +19,7 @@
     /** Time from the claim of a probe that failed to the next one, milliseconds. */
     private static final long FAILED_WAIT_MS = TimeUnit.SECONDS.toMillis(8);
 
-    /** Failures since the last lift that sound parts hardly meet, as each target ended alone. */
-    private static final int CERTAIN_FAILURES = 3;
-
-    /** Time from a claim to the next one after {@link #CERTAIN_FAILURES}, milliseconds. */
-    private static final long CERTAIN_WAIT_MS = TimeUnit.SECONDS.toMillis(90);
-
-    /**
-     * Longest time from the claim of a probe to the next one, milliseconds, unless {@link
-     * #CERTAIN_FAILURES} probes have failed.
-     */
+    /** Longest time from the claim of a probe with an item to the next one, milliseconds. */
     public static final long MAX_WAIT_MS = FAILED_WAIT_MS;
 
     /**
@@ -64,23 +55,18 @@
 
     /** Returns the wait after the last of {@code failures} failed probes, milliseconds. */
     static long waitAfterFailuresMs(int failures) {
-        if (failures == 0) {
-            return OUTCOME_MS;
-        }
-        return failures < CERTAIN_FAILURES ? FAILED_WAIT_MS : CERTAIN_WAIT_MS;
+        return failures == 0 ? OUTCOME_MS : FAILED_WAIT_MS;
     }
 
     /**
      * Returns the wait for a host that does not know when the last claim or failure was, such as
      * one that has just started. As the clocks of hosts differ, it is never less than {@link
-     * #OUTCOME_MS}, and certain failures count from now on.
+     * #OUTCOME_MS}. It is never more than {@link #MAX_WAIT_MS} either, whatever the entry says,
+     * since hosts of older versions let items wait for longer.
      *
      * @param remainingMs time until the next probe by the clock of the host that wrote the entry
      */
     static long remainingMs(int failures, long remainingMs) {
-        long maxMs = waitAfterFailuresMs(failures);
-        return failures < CERTAIN_FAILURES
-                ? Math.max(OUTCOME_MS, Math.min(maxMs, remainingMs))
-                : maxMs;
+        return Math.max(OUTCOME_MS, Math.min(waitAfterFailuresMs(failures), remainingMs));
     }
 }
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptParts.java
@@ -42,7 +42,7 @@
     public static PromptParts ofCallerIds(List<String> ids) {
         List<String> bounded = new ArrayList<>();
         for (String id : ids.subList(0, Math.min(ids.size(), MAX_PARTS))) {
-            boolean usable = id.length() <= MAX_ID_CHARS && !isWhole(id) && !isItem(id);
+            boolean usable = id.length() <= MAX_ID_CHARS && isShared(id);
             bounded.add(usable ? id : digest(id));
         }
         return new PromptParts(bounded);
@@ -82,10 +82,12 @@
         return id.startsWith(ITEM_PREFIX);
     }
 
-    /**
-     * Returns these parts and one that stands for an item of a job. An item is sent again after
-     * each interruption, so its own content can end several targets.
-     */
+    /** Returns whether a part is one that requests with other contents may have too. */
+    static boolean isShared(String id) {
+        return !isWhole(id) && !isItem(id);
+    }
+
+    /** Returns these parts and one that stands for an item of a job. */
     public PromptParts withItem(String itemId) {
         List<String> parts = new ArrayList<>(shared);
         parts.add(ITEM_PREFIX + itemId);
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptQuarantine.java
@@ -17,9 +17,6 @@
 public final class PromptQuarantine {
     private static final long FIRST_DURATION_MS = TimeUnit.MINUTES.toMillis(10);
 
-    /** Duration for a single item of a job, which only hosts of older versions go by. */
-    private static final long FIRST_ITEM_DURATION_MS = TimeUnit.SECONDS.toMillis(4);
-
     private static final long MAX_DURATION_MS = TimeUnit.HOURS.toMillis(24);
 
     /** Time in which a probe is answered or has failed. */
@@ -65,8 +62,7 @@
 
         /** Returns the entry of a suspect that was identified now. */
         public static Entry startingAt(Suspect suspect, long nowMs) {
-            long durationMs = suspect.isSingleItem() ? FIRST_ITEM_DURATION_MS : FIRST_DURATION_MS;
-            return new Entry(suspect, nowMs, nowMs + durationMs);
+            return new Entry(suspect, nowMs, nowMs + FIRST_DURATION_MS);
         }
 
         /** Returns when a request may be a probe, milliseconds since the Unix epoch. */
@@ -116,7 +112,7 @@
 
         /**
          * Returns the entry after the probe that was claimed last, a request, ended its target.
-         * Requests alone never make the causes certain for which items wait longest.
+         * From some failures on, requests are probes seldom, and theirs count no more.
          */
         public Entry withFailedRequest(long nowMs) {
             return ProbeSchedule.countsRequest(failedProbes) ? withFailedProbe(nowMs) : this;
@@ -157,11 +153,15 @@
 
     /**
      * Adds an entry, or what it says beyond the present one of the same parts. An entry that was
-     * lifted is not added again.
+     * lifted is not added again, and one of a single item never: items are owed, so their ids hold
+     * nothing back. Hosts of older versions store such entries.
      *
      * @return whether it said anything new
      */
     public boolean add(Entry entry) {
+        if (entry.suspect().isSingleItem()) {
+            return false;
+        }
         long lifted = mLiftedSinceMs.getOrDefault(entry.suspect(), Long.MIN_VALUE);
         if (lifted >= entry.sinceMs()) {
             return false;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/prompt/PromptSuspects.java
@@ -19,7 +19,9 @@
  * <p>Requests of many callers run at a target when it ends, and only one of them is the cause. A
  * part is identified as the cause when several targets ended under it, hardly an answer with it was
  * completed, and no other part explains the same ends better. A part whose answers are completed is
- * never identified, however often it runs beside the cause. Not thread-safe.
+ * never identified, however often it runs beside the cause. A single item of a job is no cause, as
+ * it is owed; it runs at one target after the other, so it explains ends that met it by chance. Not
+ * thread-safe.
  */
 public final class PromptSuspects {
     /** Weighted ends that identify a part; more than it meets by chance. */
@@ -272,8 +274,8 @@
      */
     private List<Score> scores(String service, List<SeenEnd> ends) {
         List<Score> scores = new ArrayList<>();
-        for (String part : partsOfSeveral(ends, part -> !PromptParts.isWhole(part))) {
-            if (isExplainedByContent(service, part, ends)) {
+        for (String part : partsOfSeveral(ends, PromptParts::isShared)) {
+            if (isExplainedByContent(service, part, ends) || isExplainedByItem(part, ends)) {
                 continue;
             }
             Score score = score(part, ends);
@@ -307,6 +309,26 @@
         return isOne && runs >= successes(service, content);
     }
 
+    /**
+     * Returns whether one item ran with {@code part} at each of the ended targets. That speaks no
+     * more against the part than against the item, which may have met the ends by chance.
+     */
+    private static boolean isExplainedByItem(String part, List<SeenEnd> ends) {
+        List<Set<String>> itemsByEnd = new ArrayList<>();
+        for (SeenEnd seen : ends) {
+            Set<String> items = new HashSet<>();
+            seen.end().runs().stream()
+                    .filter(run -> run.parts().shared().contains(part))
+                    .forEach(run -> items.add(run.parts().itemId()));
+            if (!items.isEmpty()) {
+                itemsByEnd.add(items);
+            }
+        }
+        Set<String> atAll = new HashSet<>(itemsByEnd.get(0));
+        itemsByEnd.forEach(atAll::retainAll);
+        return atAll.stream().anyMatch(item -> !item.isEmpty());
+    }
+
     /** Returns the wanted parts that enough ends have in common to identify one of them. */
     private static List<String> partsOfSeveral(List<SeenEnd> ends, Predicate<String> isWanted) {
         Map<String, Integer> endsByPart = new TreeMap<>();
--- a/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/job/JobProgressTest.java
@@ -122,6 +122,25 @@
         assertEquals(0, progress.nextItem(LATER));
     }
 
+    /** Guards against an item that ends one target after the other, and one that waits for long. */
+    @Test
+    void itemWhoseRunsBreakAsTheyBeginBacksOffLongerUpToALimit() {
+        JobProgress progress = progress(1);
+        long now = 0;
+        long most = 0;
+        for (int i = 0; i < 20; i++) {
+            run(progress, 0, OLD, 0);
+            progress.recordBrokenRun(0, now);
+            assertTrue(progress.backOffNanos(0, now) >= most);
+            most = progress.backOffNanos(0, now);
+            now += most;
+        }
+        assertEquals(BackOff.MAX_DELAY_NANOS, most);
+        run(progress, 0, OLD, 3);
+        progress.recordBrokenRun(0, now);
+        assertEquals(BackOff.FIRST_DELAY_NANOS, progress.backOffNanos(0, now));
+    }
+
     @Test
     void restartsFailedItemAndFailsItPermanentlyAfterMaxFailures() {
         JobProgress progress = progress(1);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/prompt/PromptSuspectsTest.java
@@ -192,6 +192,43 @@
         }
     }
 
+    private static TargetEnd endUnderItems(String target, String... items) {
+        List<TargetEnd.Run> runs = new ArrayList<>();
+        for (String item : items) {
+            PromptParts prompt = new PromptParts(List.of("shared")).withItem(item);
+            runs.add(TargetEnd.Run.afterEvents(prompt, 0));
+        }
+        return new TargetEnd("s", target, runs);
+    }
+
+    /** Guards against an owed item that is held, or whose part is, since targets end under it. */
+    @Test
+    void endsThatMeetOneItemAccuseNeitherItNorItsPart() {
+        PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
+        long second = TimeUnit.SECONDS.toNanos(1);
+        for (int end = 1; end <= 20; end++) {
+            suspects.recordSuccess("s", new PromptParts(List.of("other")), end * second);
+            suspects.recordEnd(endUnderItems("t" + end, "i", "j" + end), end * second);
+            assertEquals(Set.of(), suspects.findCauses((end + 1) * second, suspect -> false));
+        }
+    }
+
+    /** Guards against a part that ends targets, but is never found among items. */
+    @Test
+    void endsThatMeetDifferentItemsAccuseTheirPart() {
+        PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
+        long second = TimeUnit.SECONDS.toNanos(1);
+        for (int answer = 0; answer < 100; answer++) {
+            suspects.recordSuccess("s", new PromptParts(List.of("other")), 0);
+        }
+        for (int end = 1; end <= 3; end++) {
+            suspects.recordEnd(endUnderItems("t" + end, "i" + end % 2), end * second);
+        }
+        assertEquals(
+                Set.of(new Suspect("s", Set.of("shared"))),
+                suspects.findCauses(4 * second, suspect -> false));
+    }
+
     @Test
     void twoContentsAtTheSameThreeEndsAreNotToldApartBeforeTheFourth() {
         PromptSuspects suspects = new PromptSuspects(PromptSuspects.TargetIdentity.INCARNATION, 0);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -257,7 +257,7 @@
 
     @Override
     public void onInterrupted(String reason) {
-        progress().recordInterruption(mIndex, mContext.ticker().nanoTime());
+        progress().recordBrokenRun(mIndex, mContext.ticker().nanoTime());
         finish("broken", reason);
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptGuard.java
@@ -89,11 +89,7 @@
         mDetector = new TargetEndDetector(vertx, endConfirmation, this::onTargetEnd);
         mQuarantineStore =
                 new PromptQuarantineStore(
-                        vertx,
-                        storage,
-                        entry -> adopt(entry, "store"),
-                        this::lift,
-                        mQuarantine::isInForce);
+                        vertx, storage, this::onStored, this::lift, mQuarantine::isInForce);
         mItemProber =
                 new ItemProber(
                         vertx,
@@ -394,6 +390,15 @@
         return mQuarantine.entries().stream().map(PromptMessages::encode).toList();
     }
 
+    /** Adopts what the store holds; a host of an older version may have held an item back by id. */
+    private void onStored(PromptQuarantine.Entry entry) {
+        if (entry.suspect().isSingleItem()) {
+            mQuarantineStore.removeLater(entry);
+        } else {
+            adopt(entry, "store");
+        }
+    }
+
     private void adopt(PromptQuarantine.Entry entry, String source) {
         boolean known = mQuarantine.contains(entry.suspect());
         if (add(entry) && !known) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/prompt/PromptQuarantineStore.java
@@ -99,6 +99,12 @@
         mVertx.setTimer(delay, t -> put(entry));
     }
 
+    /** Removes an entry later, unless another host has done so by then. */
+    void removeLater(PromptQuarantine.Entry entry) {
+        long delay = 1 + ThreadLocalRandom.current().nextLong(MAX_WRITE_DELAY_MS);
+        mVertx.setTimer(delay, t -> remove(entry));
+    }
+
     /** Writes an entry, unless the store holds one as new, or a record that is unreadable. */
     void put(PromptQuarantine.Entry entry) {
         String key = key(entry.suspect());
