Know the version of a host's streams when it stands still

Cause: streams have no records while one version is stated. The statement of a second one made each stream without a record unknown at that moment, and its record could come only from the host that stands still.

Before the first event of a stream is forwarded, the store holds a statement of its version or, as of now, the stream's record. So a version that comes beside a stated one is stated later, when the streams that a host could not record have ended (5 s after the longest timeout of a route), and its own first events wait for their records until then. A stream without a record began at the stated version, and no host has to be well for that to be known. It costs nothing while one version serves. A version whose target has the id of one of another version is stated at once, since hosts may take it for that. A write of records whose answer is late counts, so that slow answers do not hold first events back for good.

Three tests of StoredStreamOriginsTest had asked for the refusals themselves: they ask for them after the delay now, and for the first version before. The harness of OriginFleetTest counts streams of which the store tells neither version nor record, where it counted those without a statement.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
@@ -12,8 +12,12 @@
  * learns which version began a stream:
  *
  * <ul>
- *   <li>A version is stated before the first event of a stream at it is forwarded. So a stream
- *       without a record began at the only stated version, if there is one.
+ *   <li>Before the first event of a stream is forwarded, the store holds a statement of its
+ *       version, or the stream's record. So a stream without a record began at the only stated
+ *       version, if there is one.
+ *   <li>A version that comes beside a stated one is stated after a delay, and its streams wait for
+ *       their records until then. So streams that other hosts began before they knew of it, and
+ *       could not record, are known to be of the stated version for as long as they last.
  *   <li>While streams may have begun at several versions of a service, its streams are recorded.
  *       Those that began before are recorded then, too.
  * </ul>
@@ -21,6 +25,16 @@
  * <p>Not thread-safe. Moments are readings of the host's monotonic clock, nanoseconds.
  */
 public final class OriginLedger {
+    /** What has to be in the store before the first event of a stream is forwarded. */
+    public enum Begin {
+        /** Nothing that is not there. */
+        FORWARD,
+        /** The statement of the version. */
+        AWAIT_STATEMENT,
+        /** The record of the stream. */
+        AWAIT_RECORD
+    }
+
     private final VersionsInUse mVersions = new VersionsInUse();
     private final RecentStreams mRecent;
     private final RecordJournal mJournal;
@@ -52,7 +66,12 @@
         mGroups = Set.copyOf(groups);
         mVersions.observeTargets(registered, now, retention.statementNanos());
         recordGroupsWithSeveral();
-        return mVersions.unstated();
+        return mVersions.unstated(mGroups, now, retention.delayNanos());
+    }
+
+    /** Records that targets of a version run under ids that targets of another version had. */
+    public void observeReplacing(TargetSoftware version, long now) {
+        mVersions.observeReplacing(version, now);
     }
 
     /** Records that the store has confirmed a statement, written at {@code revision}. */
@@ -83,15 +102,24 @@
      *
      * @param key digest of the stream
      * @param software software of the target that sends the event
-     * @return whether the event may be forwarded; otherwise the version has to be stated before
+     * @return what the store has to hold before the event is forwarded
      */
-    public boolean begin(long key, TargetSoftware software, long now, Retention retention) {
+    public Begin begin(long key, TargetSoftware software, long now, Retention retention) {
         StreamRecord former = mRecent.find(key);
         StreamRecord record = mRecent.add(key, software, now, retention.streamNanos());
+        boolean isStated = mVersions.isStated(software, now, retention.statementNanos());
+        if (!isStated) {
+            mVersions.recordUse(software, now);
+            recordGroupsWithSeveral();
+            if (!mVersions.isDue(software, mGroups, now, retention.delayNanos())) {
+                mJournal.addAwaited(record);
+                return Begin.AWAIT_RECORD;
+            }
+        }
         if (!record.equals(former) && mustRecord(software.service())) {
             mJournal.add(record);
         }
-        return mVersions.isStated(software, now, retention.statementNanos());
+        return isStated ? Begin.FORWARD : Begin.AWAIT_STATEMENT;
     }
 
     private boolean mustRecord(String service) {
@@ -123,6 +151,14 @@
         return mVersions.removable(now, retention.statementNanos());
     }
 
+    /**
+     * Returns whether old records may be removed: those of a version that this host has not stated
+     * yet are all that tells of its streams.
+     */
+    public boolean mayRemoveRecords() {
+        return !mVersions.hasUsedUnstated();
+    }
+
     /** Returns the records that are to be written. */
     public RecordJournal journal() {
         return mJournal;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/RecordJournal.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/RecordJournal.java
@@ -47,6 +47,10 @@
     private final LongFunction<String> mBucketNames;
     private final long mBucketNanos;
     private final Map<Long, StreamRecord> mPending = new LinkedHashMap<>();
+
+    /** Keys of the pending records that a first event waits for. */
+    private final Set<Long> mAwaited = new HashSet<>();
+
     private final Deque<OldBucket> mOldBuckets = new ArrayDeque<>();
     private @Nullable Bucket mOpen;
     private @Nullable Bucket mInFlight;
@@ -74,6 +78,17 @@
         }
     }
 
+    /** Adds a record that a first event waits for. */
+    public void addAwaited(StreamRecord record) {
+        mPending.put(record.key(), record);
+        mAwaited.add(record.key());
+    }
+
+    /** Returns whether the record of a stream is not certain to be in the store. */
+    public boolean isPending(long key) {
+        return mPending.containsKey(key);
+    }
+
     /** Returns the number of records that are not certain to be in the store. */
     public int pending() {
         return mPending.size();
@@ -82,11 +97,15 @@
     /**
      * Returns the time until the next write may begin, nanoseconds; 0 when it may begin now, and -1
      * when nothing is to be written or a write is in flight.
+     *
+     * @param interval least time between two writes
+     * @param awaitedInterval the same while first events wait for a record
      */
-    public long delayNanos(long now, long intervalNanos) {
+    public long delayNanos(long now, long interval, long awaitedInterval) {
         if (mWriteInFlight != null || mPending.isEmpty()) {
             return -1;
         }
+        long intervalNanos = mAwaited.isEmpty() ? interval : awaitedInterval;
         long sinceLast = now - mLastWriteAt;
         return mHasWritten && sinceLast < intervalNanos ? intervalNanos - sinceLast : 0;
     }
@@ -181,10 +200,21 @@
         }
         if (bucket != null) {
             mOpen = bucket;
-            bucket.records().forEach(record -> mPending.remove(record.key(), record));
+            bucket.records().forEach(this::removePending);
+        }
+    }
+
+    private void removePending(StreamRecord record) {
+        if (mPending.remove(record.key(), record)) {
+            mAwaited.remove(record.key());
         }
     }
 
+    /** Records that the store has carried out a write after all that was taken for failed. */
+    public void onStoredLate(Write write) {
+        write.records().forEach(this::removePending);
+    }
+
     /** Records that the write in flight has failed; the store may carry it out yet. */
     public void onFailed(long now) {
         Bucket bucket = mInFlight;
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleet.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleet.java
@@ -21,19 +21,6 @@
  * streams up at any host. Each stream's version is known to the simulation alone.
  */
 final class OriginFleet {
-    /** What became of the streams that were taken up. */
-    static final class Counts {
-        int mBegun;
-        int mTakenUp;
-        int mJoined;
-        int mRefused;
-        final Map<Finding.Source, Integer> mSources = new HashMap<>();
-        int mWrites;
-        int mReads;
-        int mRemovals;
-        int mUnstated;
-    }
-
     private record Event(long atMs, long number, Runnable action) {}
 
     private static final String SERVICE = "s";
@@ -43,6 +30,7 @@
 
     private static final List<Set<String>> GROUPS = List.of(Set.of(SERVICE));
     private static final long WRITE_INTERVAL_MS = 50;
+    private static final long KEEP_NANOS = TimeUnit.DAYS.toNanos(1);
     private static final long ANSWER_TIMEOUT_MS = 250;
     private static final long VIEW_LAG_MS = 250;
     private static final long SEARCH_MS = 250;
@@ -53,7 +41,7 @@
 
     private final Random mRandom;
     private final FleetFaults mFaults;
-    private final Counts mCounts = new Counts();
+    private final OriginCounts mCounts = new OriginCounts();
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparing(Event::number));
 
@@ -82,7 +70,7 @@
     }
 
     /** Runs for a time and returns the counts. */
-    Counts run(long untilMs) {
+    OriginCounts run(long untilMs) {
         mHosts.forEach(host -> at(mRandom.nextInt(200), host::start));
         for (long kill : mFaults.kills()) {
             at(kill, () -> mHosts.forEach(Host::kill));
@@ -163,7 +151,7 @@
         }
         mCounts.mTakenUp++;
         host.whenRunning(
-                () -> host.find(id, mNowMs, mNowMs + 500, origin -> count(origin, version)));
+                () -> host.find(id, mNowMs, mNowMs + 500, origin -> mCounts.add(origin, version)));
     }
 
     /** Selects any host, or as often one that is out of step or was until just now. */
@@ -178,13 +166,12 @@
         return mRandom.nextInt(mHosts.size());
     }
 
-    private void count(Finding origin, String version) {
-        mCounts.mSources.merge(origin.source(), 1, Integer::sum);
-        if (origin.software() == null) {
-            mCounts.mRefused++;
-        } else if (!origin.software().version().equals(version)) {
-            mCounts.mJoined++;
-        }
+    private boolean isKnown(String id, String version) {
+        TargetSoftware software = new TargetSoftware(SERVICE, version);
+        StreamRecord record = new StreamRecord(StreamKey.of("c", id), software);
+        return mStatements.containsKey(software)
+                || mBuckets.values().stream()
+                        .anyMatch(b -> StreamRecordCodec.decode(b).contains(record));
     }
 
     private final class Host {
@@ -195,6 +182,9 @@
         private int mStreams;
         private OriginLedger mLedger = newLedger();
 
+        /** What forwards the streams whose records are not stored yet, by their keys. */
+        private final Map<Long, Runnable> mAwaiting = new HashMap<>();
+
         Host(int number) {
             mNumber = number;
             mName = "h" + number;
@@ -274,6 +264,7 @@
         void kill() {
             mRuns = false;
             mLife++;
+            mAwaiting.clear();
         }
 
         /** Returns an action that does nothing when this life has ended; run after a delay. */
@@ -363,10 +354,11 @@
 
         private void flush() {
             long interval = TimeUnit.MILLISECONDS.toNanos(WRITE_INTERVAL_MS);
-            if (mLedger.journal().delayNanos(nanos(), interval) != 0) {
+            if (mLedger.journal().delayNanos(nanos(), interval, interval) != 0) {
                 return;
             }
-            RecordJournal.Write write = mLedger.journal().next(nanos(), RETENTION.streamNanos());
+            long retention = mLedger.mayRemoveRecords() ? RETENTION.streamNanos() : KEEP_NANOS;
+            RecordJournal.Write write = mLedger.journal().next(nanos(), retention);
             if (write == null) {
                 return;
             }
@@ -375,11 +367,17 @@
             writeStore(
                     () -> apply(write),
                     () -> {
-                        if (life == mLife && !decided[0]) {
+                        if (life != mLife) {
+                            return;
+                        }
+                        if (decided[0]) {
+                            mLedger.journal().onStoredLate(write);
+                        } else {
                             decided[0] = true;
                             mLedger.journal().onStored();
                             ifAlive(WRITE_INTERVAL_MS, this::flush).run();
                         }
+                        forwardStored();
                     });
             ifAlive(
                             ANSWER_TIMEOUT_MS,
@@ -414,20 +412,31 @@
 
         private void begin(String id, String version) {
             TargetSoftware serviceVersion = new TargetSoftware(SERVICE, version);
-            boolean mayForward =
-                    mLedger.begin(StreamKey.of("c", id), serviceVersion, nanos(), RETENTION);
+            long key = StreamKey.of("c", id);
+            OriginLedger.Begin begin = mLedger.begin(key, serviceVersion, nanos(), RETENTION);
             flush();
-            if (mayForward || !mFaults.statesFirst()) {
+            if (begin == OriginLedger.Begin.FORWARD || !mFaults.statesFirst()) {
                 forward(id, version);
-            } else {
+            } else if (begin == OriginLedger.Begin.AWAIT_STATEMENT) {
                 state(serviceVersion, () -> forward(id, version));
+            } else {
+                mAwaiting.put(key, () -> forward(id, version));
+                ifAlive(WRITE_INTERVAL_MS, this::flush).run();
+            }
+        }
+
+        private void forwardStored() {
+            for (Long key : List.copyOf(mAwaiting.keySet())) {
+                if (!mLedger.journal().isPending(key)) {
+                    mAwaiting.remove(key).run();
+                }
             }
         }
 
         private void forward(String id, String version) {
             mCounts.mBegun++;
-            if (!mStatements.containsKey(new TargetSoftware(SERVICE, version))) {
-                mCounts.mUnstated++;
+            if (!isKnown(id, version)) {
+                mCounts.mUnknown++;
             }
             in(1 + mRandom.nextInt(mPace.maxStreamMs()), () -> takeUp(id, version));
         }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleetTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginFleetTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
@@ -44,42 +45,30 @@
         return kills;
     }
 
-    private static OriginFleet.Counts runAll(
+    private static OriginCounts runAll(
             double lostShare, double lateShare, boolean kill, boolean statesFirst) {
-        OriginFleet.Counts sum = new OriginFleet.Counts();
+        OriginCounts sum = new OriginCounts();
         for (int seed = 0; seed < SEEDS; seed++) {
             Random random = new Random(seed);
             TreeMap<Long, Set<String>> targets = releases(random);
             List<Long> kills = kill ? kills(random) : List.of();
             FleetFaults faults =
                     new FleetFaults(lostShare, lateShare, kills, statesFirst, List.of());
-            add(sum, new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
+            sum.add(new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
         }
         return sum;
     }
 
-    private static void add(OriginFleet.Counts sum, OriginFleet.Counts counts) {
-        sum.mBegun += counts.mBegun;
-        sum.mTakenUp += counts.mTakenUp;
-        sum.mJoined += counts.mJoined;
-        sum.mRefused += counts.mRefused;
-        sum.mWrites += counts.mWrites;
-        sum.mReads += counts.mReads;
-        sum.mRemovals += counts.mRemovals;
-        sum.mUnstated += counts.mUnstated;
-        counts.mSources.forEach((s, n) -> sum.mSources.merge(s, n, Integer::sum));
-    }
-
     /** Plays the releases while a host is out of step around each change of the versions. */
-    private static OriginFleet.Counts runOutOfStep(List<HostOutage.Kind> kinds) {
-        OriginFleet.Counts sum = new OriginFleet.Counts();
+    private static OriginCounts runOutOfStep(List<HostOutage.Kind> kinds) {
+        OriginCounts sum = new OriginCounts();
         for (int seed = 0; seed < SEEDS; seed++) {
             Random random = new Random(seed);
             TreeMap<Long, Set<String>> targets = releases(random);
             FleetFaults faults =
                     new FleetFaults(
                             0.05, 0, List.of(), true, outages(targets.keySet(), kinds, random));
-            add(sum, new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
+            sum.add(new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
         }
         return sum;
     }
@@ -97,8 +86,8 @@
     }
 
     /** A version goes and returns at about the time at which its statement becomes old. */
-    private static OriginFleet.Counts runReturnsOfAnOldVersion(List<HostOutage.Kind> kinds) {
-        OriginFleet.Counts sum = new OriginFleet.Counts();
+    private static OriginCounts runReturnsOfAnOldVersion(List<HostOutage.Kind> kinds) {
+        OriginCounts sum = new OriginCounts();
         long keptMs = TimeUnit.NANOSECONDS.toMillis(OriginFleet.RETENTION.statementNanos());
         for (int seed = 0; seed < SEEDS; seed++) {
             Random random = new Random(seed);
@@ -113,21 +102,19 @@
                 outages.addAll(outages(Set.of(at), kinds, random));
             }
             FleetFaults faults = new FleetFaults(0, 0, List.of(at + 4_500), true, outages);
-            add(
-                    sum,
-                    new OriginFleet(seed, HOSTS, faults, FleetPace.SLOW, targets).run(at + 12_000));
+            sum.add(new OriginFleet(seed, HOSTS, faults, FleetPace.SLOW, targets).run(at + 12_000));
         }
         return sum;
     }
 
-    private static String describe(OriginFleet.Counts counts) {
-        return ("begun %d, taken up %d, joined %d, unstated %d, refused %d,"
+    private static String describe(OriginCounts counts) {
+        return ("begun %d, taken up %d, joined %d, unknown %d, refused %d,"
                         + " writes %d, reads %d, removals %d, %s")
                 .formatted(
                         counts.mBegun,
                         counts.mTakenUp,
                         counts.mJoined,
-                        counts.mUnstated,
+                        counts.mUnknown,
                         counts.mRefused,
                         counts.mWrites,
                         counts.mReads,
@@ -135,11 +122,11 @@
                         counts.mSources);
     }
 
-    private static void check(OriginFleet.Counts counts) {
+    private static void check(OriginCounts counts) {
         String text = describe(counts);
         assertTrue(counts.mTakenUp > SEEDS * 100, text);
         assertEquals(0, counts.mJoined, text);
-        assertEquals(0, counts.mUnstated, text);
+        assertEquals(0, counts.mUnknown, text);
         assertTrue(2 * counts.mRefused <= counts.mTakenUp, text);
     }
 
@@ -176,18 +163,58 @@
     @ParameterizedTest
     @EnumSource
     void hostIsOutOfStepWhileAVersionReturns(HostOutage.Kind kind) {
-        OriginFleet.Counts counts = runReturnsOfAnOldVersion(List.of(kind));
+        OriginCounts counts = runReturnsOfAnOldVersion(List.of(kind));
         assertEquals(0, counts.mJoined, describe(counts));
-        assertEquals(0, counts.mUnstated, describe(counts));
+        assertEquals(0, counts.mUnknown, describe(counts));
         assertTrue(counts.mRemovals > 0, describe(counts));
     }
 
+    /** Hosts stand still, or are gone, from shortly before a second version joins. */
+    private static OriginCounts runStandsStill(int hosts, long forMs, boolean goesAgain) {
+        OriginCounts sum = new OriginCounts();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            TreeMap<Long, Set<String>> targets = new TreeMap<>();
+            targets.put(0L, Set.of("v1"));
+            long joinsAt = 4_000 + random.nextInt(1_000);
+            targets.put(joinsAt, Set.of("v1", "v2"));
+            if (goesAgain) {
+                targets.put(joinsAt + 800, Set.of("v1"));
+                targets.put(joinsAt + 1_600, Set.of("v1", "v2", "v3"));
+            }
+            List<HostOutage> outages = new ArrayList<>();
+            for (int host = 0; host < hosts; host++) {
+                long from = joinsAt - random.nextInt(800);
+                outages.add(new HostOutage(host, HostOutage.Kind.PAUSED, from, from + forMs));
+            }
+            FleetFaults faults = new FleetFaults(0, 0, List.of(), true, outages);
+            sum.add(new OriginFleet(seed, HOSTS, faults, FleetPace.FAST, targets).run(RUN_MS));
+        }
+        return sum;
+    }
+
+    /**
+     * Guards against streams that every other host refuses, since theirs stands still, or has lost
+     * power for good, while a second version joins.
+     */
+    @ParameterizedTest
+    @CsvSource({"1,3000", "1,20000", "2,3000", "2,20000"})
+    void streamsOfHostsThatStandStillGoOnWhileAVersionJoins(int hosts, long forMs) {
+        for (boolean goesAgain : new boolean[] {false, true}) {
+            OriginCounts counts = runStandsStill(hosts, forMs, goesAgain);
+            assertTrue(counts.mTakenUp > SEEDS * 100, describe(counts));
+            assertEquals(0, counts.mJoined, describe(counts));
+            assertEquals(0, counts.mUnknown, describe(counts));
+            assertEquals(0, counts.unrecorded(), describe(counts));
+        }
+    }
+
     /** The fault that the statements prevent must show when they are left out, and only then. */
     @Test
     void streamsAreJoinedUnlessVersionsAreStatedFirst() {
-        OriginFleet.Counts counts = runAll(0.2, 0.6, true, true);
+        OriginCounts counts = runAll(0.2, 0.6, true, true);
         assertEquals(0, counts.mJoined, describe(counts));
-        OriginFleet.Counts unstated = runAll(0.2, 0.6, true, false);
+        OriginCounts unstated = runAll(0.2, 0.6, true, false);
         assertTrue(unstated.mJoined > 0, describe(unstated));
     }
 }
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
@@ -12,7 +12,8 @@
 
 /** Tests what one host states and records. */
 class OriginLedgerTest {
-    private static final Retention RETENTION = new Retention(10, 100);
+    private static final long DELAY = 8;
+    private static final Retention RETENTION = new Retention(10, 100, DELAY);
     private static final TargetSoftware OLD = new TargetSoftware("s", "v1");
     private static final TargetSoftware NEW = new TargetSoftware("s", "v1.1");
     private static final TargetSoftware OTHER = new TargetSoftware("other", "v1.1");
@@ -40,9 +41,10 @@
     void statesEachVersionOnceBeforeItsStreamsBegin() {
         list();
         assertEquals(List.of(OLD), mLedger.observeTargets(GROUPS, Set.of(OLD), 0, RETENTION));
-        assertFalse(mLedger.begin(key("a"), OLD, 1, RETENTION));
+        assertEquals(
+                OriginLedger.Begin.AWAIT_STATEMENT, mLedger.begin(key("a"), OLD, 1, RETENTION));
         mLedger.recordStated(OLD, 1, 2);
-        assertTrue(mLedger.begin(key("a"), OLD, 3, RETENTION));
+        assertEquals(OriginLedger.Begin.FORWARD, mLedger.begin(key("a"), OLD, 3, RETENTION));
         assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD), 4, RETENTION));
     }
 
@@ -85,11 +87,70 @@
         mLedger.observeTargets(GROUPS, Set.of(), 10, RETENTION);
         assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD), 20, RETENTION));
         mLedger.observeTargets(GROUPS, Set.of(), 30, RETENTION);
-        assertTrue(mLedger.begin(key("a"), OLD, 60, RETENTION));
-        assertFalse(mLedger.begin(key("b"), OLD, 90, RETENTION));
+        assertEquals(OriginLedger.Begin.FORWARD, mLedger.begin(key("a"), OLD, 60, RETENTION));
+        assertEquals(
+                OriginLedger.Begin.AWAIT_STATEMENT, mLedger.begin(key("b"), OLD, 90, RETENTION));
         assertEquals(List.of(OLD), mLedger.observeTargets(GROUPS, Set.of(OLD), 91, RETENTION));
     }
 
+    /** Guards against streams of other hosts that are refused, since they had no time to record. */
+    @Test
+    void furtherVersionIsStatedAfterADelayAndItsStreamsAreRecordedFirst() {
+        list(OLD);
+        mLedger.observeTargets(GROUPS, Set.of(OLD), 0, RETENTION);
+        mLedger.recordStated(OLD, 1, 0);
+        assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 1, RETENTION));
+        assertEquals(OriginLedger.Begin.AWAIT_RECORD, mLedger.begin(key("a"), NEW, 2, RETENTION));
+        assertTrue(mLedger.journal().isPending(key("a")));
+        assertFalse(mLedger.mayRemoveRecords());
+        assertEquals(OriginLedger.Begin.FORWARD, mLedger.begin(key("b"), OLD, 2, RETENTION));
+        assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 8, RETENTION));
+        assertEquals(List.of(NEW), mLedger.observeTargets(GROUPS, Set.of(OLD), 9, RETENTION));
+        mLedger.recordStated(NEW, 2, 9);
+        assertEquals(OriginLedger.Begin.FORWARD, mLedger.begin(key("c"), NEW, 9, RETENTION));
+        assertTrue(mLedger.mayRemoveRecords());
+    }
+
+    /** Guards against a statement that is written for ever, and so never removed. */
+    @Test
+    void versionThatIsGoneIsNotStatedAgain() {
+        furtherVersionIsStatedAfterADelayAndItsStreamsAreRecordedFirst();
+        list(OLD);
+        assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD), 500, RETENTION));
+    }
+
+    /** Guards against a version that is stated at once, since it was there for a moment before. */
+    @Test
+    void furtherVersionThatGoesUnusedAndReturnsIsStatedAfterADelay() {
+        list(OLD);
+        mLedger.recordStated(OLD, 1, 0);
+        mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 1, RETENTION);
+        mLedger.observeTargets(GROUPS, Set.of(OLD), 2, RETENTION);
+        assertEquals(List.of(), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 20, RETENTION));
+        assertEquals(List.of(NEW), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 28, RETENTION));
+    }
+
+    /** Another host may have stated it, or begun streams at it that wait for no record. */
+    @Test
+    void furtherVersionThatTheStoreNamesIsStatedAtOnce() {
+        list(OLD, NEW);
+        mLedger.recordStated(OLD, 1, 0);
+        assertEquals(List.of(NEW), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 1, RETENTION));
+    }
+
+    /** Guards against a host that takes a target for what ran under its id before. */
+    @Test
+    void versionUnderAnIdOfAnotherOneIsStatedAtOnce() {
+        list(OLD);
+        mLedger.observeTargets(GROUPS, Set.of(OLD), 0, RETENTION);
+        mLedger.recordStated(OLD, 1, 0);
+        TargetNames names = new TargetNames(10);
+        assertTrue(names.observe("t1", OLD).isEmpty());
+        assertTrue(names.observe("t1", OLD).isEmpty());
+        names.observe("t1", NEW).ifPresent(version -> mLedger.observeReplacing(version, 1));
+        assertEquals(List.of(NEW), mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 1, RETENTION));
+    }
+
     @Test
     void removesAStatementOnlyLongAfterItsLastTarget() {
         list(OLD, NEW);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/RecordJournalTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/RecordJournalTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.core.stream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -41,16 +42,45 @@
 
     @Test
     void hasOneWriteInFlightAndWaitsBetweenTwo() {
-        assertEquals(-1, mJournal.delayNanos(0, 50));
+        assertEquals(-1, mJournal.delayNanos(0, 50, 50));
         mJournal.add(A);
-        assertEquals(0, mJournal.delayNanos(0, 50));
+        assertEquals(0, mJournal.delayNanos(0, 50, 50));
         assertNotNull(mJournal.next(0, RETENTION));
         mJournal.add(B);
         assertNull(mJournal.next(100, RETENTION));
-        assertEquals(-1, mJournal.delayNanos(100, 50));
+        assertEquals(-1, mJournal.delayNanos(100, 50, 50));
         mJournal.onStored();
-        assertEquals(30, mJournal.delayNanos(20, 50));
-        assertEquals(0, mJournal.delayNanos(50, 50));
+        assertEquals(30, mJournal.delayNanos(20, 50, 50));
+        assertEquals(0, mJournal.delayNanos(50, 50, 50));
+    }
+
+    @Test
+    void recordsThatAFirstEventWaitsForAreWrittenSooner() {
+        mJournal.add(A);
+        next(0);
+        mJournal.onStored();
+        mJournal.add(B);
+        assertEquals(50, mJournal.delayNanos(0, 50, 20));
+        mJournal.addAwaited(C);
+        assertEquals(20, mJournal.delayNanos(0, 50, 20));
+        next(20);
+        assertTrue(mJournal.isPending(C.key()));
+        mJournal.onStored();
+        assertFalse(mJournal.isPending(C.key()));
+        mJournal.add(A);
+        assertEquals(50, mJournal.delayNanos(20, 50, 20));
+    }
+
+    /** Guards against first events that wait for good for a store whose answers are slow. */
+    @Test
+    void lateAnswerConfirmsTheRecordsOfItsWrite() {
+        mJournal.addAwaited(A);
+        RecordJournal.Write write = next(0);
+        mJournal.onFailed(10);
+        assertTrue(mJournal.isPending(A.key()));
+        mJournal.onStoredLate(write);
+        assertFalse(mJournal.isPending(A.key()));
+        assertEquals(0, mJournal.pending());
     }
 
     /** A write that the store carries out late must not take back records written since. */
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/RecordWriter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/RecordWriter.java
@@ -1,6 +1,11 @@
 package org.sesamepin.node.stream;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
@@ -13,7 +18,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Writes the records of a {@link RecordJournal} to the store. Confined to the event loop. */
+/**
+ * Writes the records of a {@link RecordJournal} to the store, and tells when they are there.
+ * Confined to the event loop.
+ */
 final class RecordWriter {
     private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
 
@@ -21,21 +29,33 @@
     private static final long ANSWER_TIMEOUT_MS = 250;
 
     private static final long RETRY_DELAY_MS = 60;
+    private static final long NO_TIMER = -1;
+
+    /** Least times between two writes. */
+    interface Intervals {
+        /** Returns the time while no event waits for a record, nanoseconds. */
+        long usualNanos();
+
+        /** Returns the time while an event waits for a record, nanoseconds. */
+        long awaitedNanos();
+    }
 
     private final Vertx mVertx;
     private final Ticker mTicker;
     private final WatchableStore mStore;
     private final RecordJournal mJournal;
-    private final LongSupplier mIntervalNanos;
+    private final Intervals mIntervals;
     private final LongSupplier mRetentionNanos;
-    private boolean mIsScheduled;
+    private final Map<Long, Promise<Void>> mAwaited = new HashMap<>();
+    private long mTimer = NO_TIMER;
+    private long mTimerDueAt;
     private boolean mClosed;
     private long mStored;
 
     /**
      * Creates a writer.
      *
-     * @param intervalNanos least time between two writes
+     * @param intervals least times between two writes
      * @param retentionNanos how long records are kept
      */
     RecordWriter(
@@ -43,13 +63,13 @@
             Ticker ticker,
             WatchableStore store,
             RecordJournal journal,
-            LongSupplier intervalNanos,
+            Intervals intervals,
             LongSupplier retentionNanos) {
         mVertx = vertx;
         mTicker = ticker;
         mStore = store;
         mJournal = journal;
-        mIntervalNanos = intervalNanos;
+        mIntervals = intervals;
         mRetentionNanos = retentionNanos;
     }
 
@@ -63,10 +83,29 @@
         return mStored;
     }
 
+    /** Completes when the store holds a record that the journal has, or had. */
+    Future<Void> whenStored(long key) {
+        if (!mJournal.isPending(key)) {
+            return Future.succeededFuture();
+        }
+        return mAwaited.computeIfAbsent(key, k -> Promise.promise()).future();
+    }
+
+    private void completeAwaited() {
+        for (Long key : List.copyOf(mAwaited.keySet())) {
+            Promise<Void> stored = mJournal.isPending(key) ? null : mAwaited.remove(key);
+            if (stored != null) {
+                stored.complete();
+            }
+        }
+    }
+
     /** Writes new records, at once unless another write is in flight or was sent just now. */
     void schedule() {
-        long delayNanos = mJournal.delayNanos(mTicker.nanoTime(), mIntervalNanos.getAsLong());
-        if (mClosed || mIsScheduled || delayNanos < 0) {
+        long delayNanos =
+                mJournal.delayNanos(
+                        mTicker.nanoTime(), mIntervals.usualNanos(), mIntervals.awaitedNanos());
+        if (mClosed || delayNanos < 0) {
             return;
         }
         if (delayNanos == 0) {
@@ -76,14 +115,21 @@
         }
     }
 
+    /** Schedules the next write, unless it is due by then. */
     private void scheduleIn(long delayMs) {
-        mIsScheduled = true;
-        mVertx.setTimer(
-                delayMs,
-                t -> {
-                    mIsScheduled = false;
-                    schedule();
-                });
+        long dueAt = mTicker.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMs);
+        if (mTimer != NO_TIMER && mTimerDueAt - dueAt <= 0) {
+            return;
+        }
+        mVertx.cancelTimer(mTimer);
+        mTimerDueAt = dueAt;
+        mTimer =
+                mVertx.setTimer(
+                        delayMs,
+                        t -> {
+                            mTimer = NO_TIMER;
+                            schedule();
+                        });
     }
 
     /** Writes what is due, and removes old buckets. */
@@ -106,19 +152,26 @@
                 .onComplete(
                         result -> {
                             mVertx.cancelTimer(timer);
-                            if (!isDecided.compareAndSet(false, true)) {
-                                return;
-                            }
+                            boolean isLate = !isDecided.compareAndSet(false, true);
                             if (result.succeeded()) {
-                                mStored++;
-                                mJournal.onStored();
-                                schedule();
-                            } else {
+                                onStored(write, isLate);
+                            } else if (!isLate) {
                                 onFailed(write, result.cause());
                             }
                         });
     }
 
+    private void onStored(RecordJournal.Write write, boolean isLate) {
+        mStored++;
+        if (isLate) {
+            mJournal.onStoredLate(write);
+        } else {
+            mJournal.onStored();
+        }
+        completeAwaited();
+        schedule();
+    }
+
     private void onFailed(RecordJournal.Write write, @Nullable Throwable cause) {
         LOG.warn(
                 "step=stream-record bucket={} records={} outcome=unknown cause={}",
@@ -126,9 +179,7 @@
                 write.records().size(),
                 cause == null ? "no answer" : cause.getMessage());
         mJournal.onFailed(mTicker.nanoTime());
-        if (!mIsScheduled) {
-            scheduleIn(RETRY_DELAY_MS);
-        }
+        scheduleIn(RETRY_DELAY_MS);
     }
 
     private static StoreTransaction encode(RecordJournal.Write write) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.sesamepin.core.stream.Retention;
 import org.sesamepin.core.stream.StreamKey;
 import org.sesamepin.core.stream.TakeUp;
+import org.sesamepin.core.stream.TargetNames;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.time.Ticker;
 import org.sesamepin.node.serving.ServingKeys;
@@ -33,10 +35,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tells any host of the fleet, also one that has just started, which version began a stream. A
- * version is stated in the store before the first event of a stream at it is forwarded. While
- * streams may have begun at several versions of a service, each stream is recorded as well. Listens
- * to the targets. Confined to the event loop.
+ * Tells any host of the fleet, also one that has just started, which version began a stream. Before
+ * the first event of a stream is forwarded, the store holds a statement of its version, or, for a
+ * while after that version came beside another one, the stream's record. While streams may have
+ * begun at several versions of a service, each stream is recorded. Listens to the targets. Confined
+ * to the event loop.
  */
 public final class StoredStreamOrigins
         implements StreamOrigins, StoreMirror.Listener, AutoCloseable {
@@ -46,6 +49,14 @@
     private static final long MIN_INTERVAL_MS = 50;
     private static final long INTERVAL_MS_PER_HOST = 10;
 
+    /** The same while first events wait for a record, which few streams of all hosts do. */
+    private static final long AWAITED_INTERVAL_MS_PER_HOST = 2;
+
+    private static final int MAX_TARGET_NAMES = 10_000;
+
+    /** Keeps old records, as a time that is never over. */
+    private static final long KEEP_NANOS = TimeUnit.DAYS.toNanos(10_000);
+
     /** Reads of the store for a stream without a record, whose write may be in flight. */
     private static final int MAX_READS = 3;
 
@@ -65,9 +76,14 @@
     private final ServingState mState;
     private final Predicate<String> mIsOwner;
     private final OriginLedger mLedger;
+    private final TargetNames mTargetNames = new TargetNames(MAX_TARGET_NAMES);
     private final OriginReader mReader;
     private final VersionStatements mStatements;
     private final RecordWriter mWriter;
+
+    /** The versions that are not stated, and whose streams wait for their records. */
+    private final Set<TargetSoftware> mRecordedFirst = new HashSet<>();
+
     private long mLongestLifetimeMs;
     private long mTimer = -1;
     private int mTicks;
@@ -109,13 +125,30 @@
                         ticker,
                         store,
                         journal,
-                        () -> writeIntervalNanos(hostCount.getAsInt()),
-                        () -> retention().streamNanos());
+                        intervals(hostCount),
+                        this::recordRetentionNanos);
     }
 
-    private static long writeIntervalNanos(int hosts) {
-        return TimeUnit.MILLISECONDS.toNanos(
-                Math.max(MIN_INTERVAL_MS, INTERVAL_MS_PER_HOST * hosts));
+    private static RecordWriter.Intervals intervals(IntSupplier hostCount) {
+        return new RecordWriter.Intervals() {
+            @Override
+            public long usualNanos() {
+                return intervalNanos(INTERVAL_MS_PER_HOST * hostCount.getAsInt());
+            }
+
+            @Override
+            public long awaitedNanos() {
+                return intervalNanos(AWAITED_INTERVAL_MS_PER_HOST * hostCount.getAsInt());
+            }
+        };
+    }
+
+    private static long intervalNanos(long intervalMs) {
+        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_INTERVAL_MS, intervalMs));
+    }
+
+    private long recordRetentionNanos() {
+        return mLedger.mayRemoveRecords() ? retention().streamNanos() : KEEP_NANOS;
     }
 
     /** Starts reading what the store holds, and removing what is old. */
@@ -158,14 +191,19 @@
         if (mClosed) {
             return;
         }
+        long now = mTicker.nanoTime();
         Set<Set<String>> groups = resumableServices();
-        Set<TargetSoftware> registered =
-                mState.targets().targetsById().values().stream()
-                        .map(TargetInstance::software)
-                        .filter(s -> groups.stream().anyMatch(g -> g.contains(s.service())))
-                        .collect(Collectors.toSet());
-        mLedger.observeTargets(groups, registered, mTicker.nanoTime(), retention())
-                .forEach(this::state);
+        Set<TargetSoftware> registered = new HashSet<>();
+        for (TargetInstance target : mState.targets().targetsById().values()) {
+            TargetSoftware software = target.software();
+            if (groups.stream().anyMatch(group -> group.contains(software.service()))) {
+                registered.add(software);
+                mTargetNames
+                        .observe(target.id(), software)
+                        .ifPresent(replacing -> mLedger.observeReplacing(replacing, now));
+            }
+        }
+        mLedger.observeTargets(groups, registered, now, retention()).forEach(this::state);
         mWriter.schedule();
     }
 
@@ -183,6 +221,7 @@
                 .onSuccess(
                         revision -> {
                             mLedger.recordStated(version, revision, mTicker.nanoTime());
+                            mRecordedFirst.remove(version);
                             mWriter.schedule();
                         })
                 .mapEmpty();
@@ -192,9 +231,23 @@
     public Future<Void> record(
             String streamId, @Nullable String customer, TargetSoftware software) {
         long key = StreamKey.of(customer, streamId);
-        boolean isStated = mLedger.begin(key, software, mTicker.nanoTime(), retention());
+        OriginLedger.Begin begin = mLedger.begin(key, software, mTicker.nanoTime(), retention());
         mWriter.schedule();
-        return isStated ? Future.succeededFuture() : state(software);
+        return switch (begin) {
+            case FORWARD -> Future.succeededFuture();
+            case AWAIT_STATEMENT -> state(software);
+            case AWAIT_RECORD -> awaitRecord(key, software);
+        };
+    }
+
+    private Future<Void> awaitRecord(long key, TargetSoftware software) {
+        if (mRecordedFirst.add(software)) {
+            LOG.info(
+                    "step=stream-version service={} version={} outcome=recorded-first",
+                    software.service(),
+                    software.version());
+        }
+        return mWriter.whenStored(key);
     }
 
     @Override
--- a/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
@@ -37,6 +37,10 @@
     private static final TargetSoftware V1 = new TargetSoftware("s", "v1");
     private static final TargetSoftware V2 = new TargetSoftware("s", "v2");
     private static final int TICKS_PER_LISTING = 30;
+
+    /** Time for which a further version is not stated: the route's timeout and 5 s. */
+    private static final long DELAY_S = 10;
+
     private static final ServingRoute ROUTE =
             new ServingRoute(
                     "r",
@@ -133,8 +137,12 @@
     }
 
     private static TargetInstance target(String version) {
+        return target(version, version);
+    }
+
+    private static TargetInstance target(String id, String version) {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-        return new TargetInstance(version, 1, "s", version, address, "a", 8, TargetState.READY, 0);
+        return new TargetInstance(id, 1, "s", version, address, "a", 8, TargetState.READY, 0);
     }
 
     private void record(int host, String id, @Nullable String customer, TargetSoftware software)
@@ -197,6 +205,8 @@
             assertEquals("only-version v1", find(0, id, null));
         }
         setTargets("v1", "v2");
+        assertEquals("only-version v1", find(0, "nobody's", null), "v2's have records");
+        passSeconds(DELAY_S);
         assertEquals("no-record", find(0, "nobody's", null));
         setTargets("v2");
         assertEquals("no-record", find(0, "nobody's", null), "v1 served just before");
@@ -213,7 +223,10 @@
         setTargets("v1");
         record(0, "a", null, V2);
         assertEquals("record v2", find(1, "a", null));
+        assertEquals("only-version v1", find(1, "b", null), "v2's have records");
+        passSeconds(DELAY_S);
         assertEquals("no-record", find(1, "b", null));
+        assertEquals("record v2", find(1, "a", null));
     }
 
     @Test
@@ -227,13 +240,51 @@
         assertEquals("record v1", find(1, "a", null));
     }
 
+    /**
+     * Guards against streams that every other host refuses: the host that began them stands still
+     * and could not record them when a second version came.
+     */
+    @Test
+    void streamOfAHostThatStandsStillGoesOnWhileASecondVersionComes() throws Exception {
+        startHosts(2);
+        ServingState still = startHostApart();
+        setTargets(still, "v1");
+        setTargets("v1");
+        record(2, "a", "c", V1);
+        setTargets("v1", "v2");
+        record(0, "b", "c", V2);
+        assertEquals("only-version v1", find(1, "a", "c"));
+        assertEquals("record v2", find(1, "b", "c"));
+        assertEquals(1, statements());
+        passSeconds(DELAY_S);
+        assertEquals("no-record", find(1, "a", "c"), "it has ended by then");
+        assertEquals("record v2", find(1, "b", "c"));
+        assertEquals(2, statements());
+    }
+
+    /** Guards against a stream that is joined, as its host takes a target for its former self. */
+    @Test
+    void versionThatReplacesAnotherUnderItsIdIsStatedAtOnce() throws Exception {
+        startHosts(2);
+        setTargets("v1");
+        run(
+                () -> {
+                    mState.setTargets(List.of(target("v1", "v1"), target("x", "v1")));
+                    mHosts.forEach(StoredStreamOrigins::tick);
+                    mState.setTargets(List.of(target("v1", "v1"), target("x", "v2")));
+                    mHosts.forEach(StoredStreamOrigins::tick);
+                });
+        assertEquals("no-record", find(1, "begun-at-x", null));
+    }
+
     /**
      * Guards against a stream at a version of which the store knows nothing when all are killed.
      */
     @Test
-    void firstEventWaitsUntilTheVersionIsStated() throws Exception {
+    void firstEventWaitsUntilTheStoreTellsItsVersion() throws Exception {
         startHosts(1);
         setTargets("v1");
+        record(0, "of-v1", null, V1);
         mStore.setFaultSource(() -> MemoryStore.Fault.LOST);
         Future<Void> start =
                 onLoop(() -> Future.succeededFuture(mHosts.get(0).record("a", null, V2)));
@@ -241,7 +292,10 @@
         assertFalse(start.isComplete());
         mStore.setFaultSource(() -> MemoryStore.Fault.NONE);
         start.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
-        assertEquals(2, statements());
+        assertEquals(1, statements());
+        assertTrue(records() > 0);
+        startHosts(1);
+        assertEquals("record v2", find(1, "a", null));
     }
 
     @Test
