Limit a receive buffer as its connection is accepted

Cause: receive buffers beyond the 160th are made small by the event loop, when it first sees the connection.

Ruled out: accepting all with 4 KiB and enlarging those that are served. Left: connections in the system's queue, and those accepted before the gate is there.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/CallerMemory.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -38,8 +39,8 @@
     private static final long HEAP_PER_CONNECTION = 64 << 10;
 
     /**
-     * Size of the receive buffer of a connection, bytes; the system reserves twice as much. Without
-     * it each connection may hold megabytes that have not been read.
+     * Size of the receive buffer with which a listener accepts connections, bytes; the system
+     * reserves twice as much. Without it each one may hold megabytes that have not been read.
      */
     public static final int RECEIVE_BUFFER_BYTES = 64 << 10;
 
@@ -91,7 +92,11 @@
      *     and the heap
      */
     public CallerMemory(Ticker ticker, long maxBytes, int maxConnections) {
-        long heapBytes = Runtime.getRuntime().maxMemory();
+        this(ticker, maxBytes, maxConnections, Runtime.getRuntime().maxMemory());
+    }
+
+    /** Creates an instance for a heap of {@code heapBytes} at most. */
+    CallerMemory(Ticker ticker, long maxBytes, int maxConnections, long heapBytes) {
         int connections = maxConnections > 0 ? maxConnections : maxConnections(heapBytes);
         mTicker = ticker;
         long requestBytes = maxBytes > 0 ? maxBytes : heapBytes / HEAP_DIVISOR;
@@ -122,24 +127,40 @@
         }
     }
 
+    /**
+     * Limits the receive buffer of a connection when those of {@code connections} are beyond their
+     * share. It is never enlarged: the system may keep the window of the smaller one.
+     */
+    private void limitReceiveBuffer(Channel channel, int connections) {
+        if (connections <= mLargeReceiveBuffers) {
+            return;
+        }
+        try {
+            channel.config().setOption(ChannelOption.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES);
+        } catch (ChannelException e) {
+            LOG.debug("step=accept outcome=closed-meanwhile cause={}", e.getMessage());
+        }
+    }
+
     /** Returns the pace at which a new connection is read; limits its receive buffer. */
     ReadPace newPace(Channel channel) {
-        int bytes =
-                mRequests.connections() <= mLargeReceiveBuffers
-                        ? RECEIVE_BUFFER_BYTES
-                        : SMALL_RECEIVE_BUFFER_BYTES;
-        channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+        limitReceiveBuffer(channel, mRequests.connections());
         ReadTurns turns =
                 mTurns.computeIfAbsent(
                         channel.eventLoop(), loop -> new ReadTurns(loop, mGivenTurns));
         return new ReadPace(channel, turns, mTicker);
     }
 
-    /** Limits how many connections the listener of a new connection accepts. */
+    /**
+     * Limits how many connections the listener of a new connection accepts, and the receive buffers
+     * of further ones as they are accepted: their clients may send long before a busy event loop
+     * sees them.
+     */
     void limitAccepted(Channel channel) {
         Channel listener = channel.parent();
         if (listener != null) {
-            AcceptGate.install(listener, mMaxAccepted, this::onAcceptStopped);
+            AcceptGate.install(
+                    listener, mMaxAccepted, this::onAcceptStopped, this::limitReceiveBuffer);
         }
     }
 
