Forget calls that are over while they wait for the store

Found by reading: while the store takes no writes, each first event of a further version leaves a record in RecordJournal and a promise in RecordWriter that holds its call with its body, until the writes go through, also when the call has ended. addAwaited has no bound, where add drops records. Calls that wait for a statement were held by VersionStatements' promise in the same way, since before: the same cause on the related path.

Now a wait carries what tells that its call is over.

A record must not be withdrawn with the first call that waited for it when an event was forwarded without it: at another version after a second attempt, or when the version was stated meanwhile. Such records become ordinary ones; begin adds them again while they are pending, and a second version that comes does not take awaited ones for ordinary (addUnlessPending), which would make them late.

Ruled out: a bound alone, as add has it, since what it drops is a call that runs; a deadline for each wait, which holds calls of callers that left; promises that are cancelled by the attempt, since a cancelled attempt notifies of nothing.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/OriginLedger.java
@@ -27,7 +27,7 @@
 public final class OriginLedger {
     /** What has to be in the store before the first event of a stream is forwarded. */
     public enum Begin {
-        /** Nothing that is not there. */
+        /** Nothing more. */
         FORWARD,
         /** The statement of the version. */
         AWAIT_STATEMENT,
@@ -92,7 +92,7 @@
             if (!mVersions.hasSeveral(group)) {
                 mRecordedGroups.remove(group);
             } else if (mRecordedGroups.add(group)) {
-                mRecent.recordsOf(group).forEach(mJournal::add);
+                mRecent.recordsOf(group).forEach(mJournal::addUnlessPending);
             }
         }
     }
@@ -116,7 +116,8 @@
                 return Begin.AWAIT_RECORD;
             }
         }
-        if (!record.equals(former) && mustRecord(software.service())) {
+        boolean isNew = !record.equals(former) || mJournal.isPending(key);
+        if (isNew && mustRecord(software.service())) {
             mJournal.add(record);
         }
         return isStated ? Begin.FORWARD : Begin.AWAIT_STATEMENT;
--- a/sesamepin-core/src/main/java/org/sesamepin/core/stream/RecordJournal.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/stream/RecordJournal.java
@@ -71,19 +71,37 @@
         mBucketNanos = bucketNanos;
     }
 
-    /** Adds a record that is to be written. */
+    /** Adds a record that is to be written, and that no event waits for any more. */
     public void add(StreamRecord record) {
-        if (mPending.size() < MAX_PENDING) {
+        if (mPending.size() < MAX_PENDING || mPending.containsKey(record.key())) {
             mPending.put(record.key(), record);
+            mAwaited.remove(record.key());
         }
     }
 
-    /** Adds a record that a first event waits for. */
+    /** Adds a record that is to be written, unless it waits for a write already. */
+    public void addUnlessPending(StreamRecord record) {
+        if (!record.equals(mPending.get(record.key()))) {
+            add(record);
+        }
+    }
+
+    /**
+     * Adds a record that a first event waits for. Such records are not dropped: there are no more
+     * of them than calls that wait, if those that wait no longer are withdrawn.
+     */
     public void addAwaited(StreamRecord record) {
         mPending.put(record.key(), record);
         mAwaited.add(record.key());
     }
 
+    /** Removes the record that a first event has waited for and that is not needed any more. */
+    public void withdraw(long key) {
+        if (mAwaited.remove(key)) {
+            mPending.remove(key);
+        }
+    }
+
     /** Returns whether the record of a stream is not certain to be in the store. */
     public boolean isPending(long key) {
         return mPending.containsKey(key);
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/OriginLedgerTest.java
@@ -111,6 +111,22 @@
         assertTrue(mLedger.mayRemoveRecords());
     }
 
+    /** Guards against a record that is given up with the call that was the first to wait for it. */
+    @Test
+    void awaitedRecordIsKeptWhenAnEventIsForwardedWithoutIt() {
+        list(OLD);
+        mLedger.recordStated(OLD, 1, 0);
+        mLedger.observeTargets(GROUPS, Set.of(OLD, NEW), 0, RETENTION);
+        assertEquals(OriginLedger.Begin.AWAIT_RECORD, mLedger.begin(key("a"), NEW, 1, RETENTION));
+        assertEquals(OriginLedger.Begin.AWAIT_RECORD, mLedger.begin(key("b"), NEW, 1, RETENTION));
+        mLedger.recordStated(NEW, 2, 2);
+        assertEquals(OriginLedger.Begin.FORWARD, mLedger.begin(key("a"), NEW, 2, RETENTION));
+        mLedger.journal().withdraw(key("a"));
+        mLedger.journal().withdraw(key("b"));
+        assertTrue(mLedger.journal().isPending(key("a")));
+        assertFalse(mLedger.journal().isPending(key("b")));
+    }
+
     /** Guards against a statement that is written for ever, and so never removed. */
     @Test
     void versionThatIsGoneIsNotStatedAgain() {
--- a/sesamepin-core/src/test/java/org/sesamepin/core/stream/RecordJournalTest.java
+++ b/sesamepin-core/src/test/java/org/sesamepin/core/stream/RecordJournalTest.java
@@ -71,6 +71,20 @@
         assertEquals(50, mJournal.delayNanos(20, 50, 20));
     }
 
+    /** Guards against records that stay, or are lost, when the calls that wait for them end. */
+    @Test
+    void recordIsWithdrawnUnlessItIsNeededWithoutTheWait() {
+        mJournal.addAwaited(A);
+        mJournal.add(B);
+        StreamRecord moved = new StreamRecord(C.key(), V1);
+        mJournal.addAwaited(C);
+        mJournal.add(moved);
+        mJournal.withdraw(A.key());
+        mJournal.withdraw(B.key());
+        mJournal.withdraw(C.key());
+        assertEquals(List.of(B, moved), next(0).records());
+    }
+
     /** Guards against first events that wait for good for a store whose answers are slow. */
     @Test
     void lateAnswerConfirmsTheRecordsOfItsWrite() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -284,7 +284,7 @@
         if (streamId == null || !mayBeTakenUp || mPolicy.hasForwarded()) {
             return Future.succeededFuture();
         }
-        return mContext.streamOrigins().record(streamId, mCustomer, software);
+        return mContext.streamOrigins().record(streamId, mCustomer, software, () -> mEnded);
     }
 
     @Override
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/RecordWriter.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/RecordWriter.java
@@ -1,13 +1,10 @@
 package org.sesamepin.node.stream;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.stream.RecordJournal;
@@ -46,7 +43,7 @@
     private final RecordJournal mJournal;
     private final Intervals mIntervals;
     private final LongSupplier mRetentionNanos;
-    private final Map<Long, Promise<Void>> mAwaited = new HashMap<>();
+    private final Waits<Long> mWaits = new Waits<>();
     private long mTimer = NO_TIMER;
     private long mTimerDueAt;
     private boolean mClosed;
@@ -83,19 +80,27 @@
         return mStored;
     }
 
-    /** Completes when the store holds a record that the journal has, or had. */
-    Future<Void> whenStored(long key) {
+    /**
+     * Completes when the store holds a record that the journal has, or had.
+     *
+     * @param isOver tells that the result is not needed any more
+     */
+    Future<Void> whenStored(long key, BooleanSupplier isOver) {
         if (!mJournal.isPending(key)) {
             return Future.succeededFuture();
         }
-        return mAwaited.computeIfAbsent(key, k -> Promise.promise()).future();
+        return mWaits.add(key, isOver);
+    }
+
+    /** Withdraws the records whose waits are all over. */
+    void removeOver() {
+        mWaits.removeOver().forEach(mJournal::withdraw);
     }
 
-    private void completeAwaited() {
-        for (Long key : List.copyOf(mAwaited.keySet())) {
-            Promise<Void> stored = mJournal.isPending(key) ? null : mAwaited.remove(key);
-            if (stored != null) {
-                stored.complete();
+    private void completeWaits() {
+        for (Long key : mWaits.keys()) {
+            if (!mJournal.isPending(key)) {
+                mWaits.complete(key);
             }
         }
     }
@@ -168,7 +173,7 @@
         } else {
             mJournal.onStored();
         }
-        completeAwaited();
+        completeWaits();
         schedule();
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/stream/StoredStreamOrigins.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -84,6 +85,10 @@
     /** The versions that are not stated, and whose streams wait for their records. */
     private final Set<TargetSoftware> mRecordedFirst = new HashSet<>();
 
+    /** The versions whose statements are on their way, and the calls that wait for them. */
+    private final Set<TargetSoftware> mBeingStated = new HashSet<>();
+
+    private final Waits<TargetSoftware> mStatementWaits = new Waits<>();
     private long mLongestLifetimeMs;
     private long mTimer = -1;
     private int mTicks;
@@ -163,6 +168,8 @@
             return;
         }
         observeTargets();
+        mStatementWaits.removeOver();
+        mWriter.removeOver();
         mWriter.writeNext();
         mTicks++;
         boolean isDue = mTicks % TICKS_PER_LISTING == 0;
@@ -215,39 +222,49 @@
                 .collect(Collectors.toSet());
     }
 
-    private Future<Void> state(TargetSoftware version) {
-        return mStatements
-                .state(version)
-                .onSuccess(
-                        revision -> {
-                            mLedger.recordStated(version, revision, mTicker.nanoTime());
-                            mRecordedFirst.remove(version);
-                            mWriter.schedule();
-                        })
-                .mapEmpty();
+    private void state(TargetSoftware version) {
+        if (mBeingStated.add(version)) {
+            mStatements.state(version).onSuccess(revision -> onStated(version, revision));
+        }
+    }
+
+    private void onStated(TargetSoftware version, long revision) {
+        mBeingStated.remove(version);
+        mLedger.recordStated(version, revision, mTicker.nanoTime());
+        mRecordedFirst.remove(version);
+        mStatementWaits.complete(version);
+        mWriter.schedule();
     }
 
     @Override
     public Future<Void> record(
-            String streamId, @Nullable String customer, TargetSoftware software) {
+            String streamId,
+            @Nullable String customer,
+            TargetSoftware software,
+            BooleanSupplier isOver) {
         long key = StreamKey.of(customer, streamId);
         OriginLedger.Begin begin = mLedger.begin(key, software, mTicker.nanoTime(), retention());
         mWriter.schedule();
         return switch (begin) {
             case FORWARD -> Future.succeededFuture();
-            case AWAIT_STATEMENT -> state(software);
-            case AWAIT_RECORD -> awaitRecord(key, software);
+            case AWAIT_STATEMENT -> {
+                state(software);
+                yield mStatementWaits.add(software, isOver);
+            }
+            case AWAIT_RECORD -> {
+                logRecordedFirst(software);
+                yield mWriter.whenStored(key, isOver);
+            }
         };
     }
 
-    private Future<Void> awaitRecord(long key, TargetSoftware software) {
+    private void logRecordedFirst(TargetSoftware software) {
         if (mRecordedFirst.add(software)) {
             LOG.info(
                     "step=stream-version service={} version={} outcome=recorded-first",
                     software.service(),
                     software.version());
         }
-        return mWriter.whenStored(key);
     }
 
     @Override
--- a/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/stream/StoredStreamOriginsTest.java
@@ -13,10 +13,14 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamepin.core.serving.ConnectionLimits;
 import org.sesamepin.core.serving.RouteKind;
 import org.sesamepin.core.serving.ServiceShare;
@@ -147,7 +151,7 @@
 
     private void record(int host, String id, @Nullable String customer, TargetSoftware software)
             throws Exception {
-        onLoop(() -> mHosts.get(host).record(id, customer, software));
+        onLoop(() -> mHosts.get(host).record(id, customer, software, () -> false));
     }
 
     private String find(int host, @Nullable String id, @Nullable String customer) throws Exception {
@@ -286,8 +290,7 @@
         setTargets("v1");
         record(0, "of-v1", null, V1);
         mStore.setFaultSource(() -> MemoryStore.Fault.LOST);
-        Future<Void> start =
-                onLoop(() -> Future.succeededFuture(mHosts.get(0).record("a", null, V2)));
+        Future<Void> start = begin("a", V2, () -> false);
         Thread.sleep(400);
         assertFalse(start.isComplete());
         mStore.setFaultSource(() -> MemoryStore.Fault.NONE);
@@ -298,6 +301,47 @@
         assertEquals("record v2", find(1, "a", null));
     }
 
+    /** Begins a stream at the first host; the result is for the test to await. */
+    private Future<Void> begin(String id, TargetSoftware software, BooleanSupplier isOver)
+            throws Exception {
+        return onLoop(
+                () -> Future.succeededFuture(mHosts.get(0).record(id, null, software, isOver)));
+    }
+
+    /**
+     * Guards against calls that stay in memory after their end while the store takes no writes, and
+     * against events that are forwarded though their stream's record was given up.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"v1", "v2"})
+    void callThatIsOverWaitsNoLongerForTheStore(String version) throws Exception {
+        startHosts(1);
+        mStore.setFaultSource(() -> MemoryStore.Fault.LOST);
+        if (version.equals("v2")) {
+            mStore.setFaultSource(() -> MemoryStore.Fault.NONE);
+            setTargets("v1");
+            record(0, "of-v1", null, V1);
+            mStore.setFaultSource(() -> MemoryStore.Fault.LOST);
+        }
+        TargetSoftware software = new TargetSoftware("s", version);
+        AtomicBoolean isOver = new AtomicBoolean();
+        List<Future<Void>> ended = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            ended.add(begin("ended-" + i, software, isOver::get));
+        }
+        ended.add(begin("goes-on", software, isOver::get));
+        Future<Void> goesOn = begin("goes-on", software, () -> false);
+        isOver.set(true);
+        run(mHosts.get(0)::tick);
+        // Those of the stream of v1 and of the call that goes on are needed.
+        assertTrue(mHosts.get(0).pendingRecords() <= 2, "records of calls that are over");
+        mStore.setFaultSource(() -> MemoryStore.Fault.NONE);
+        goesOn.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        assertTrue(ended.stream().noneMatch(Future::isComplete));
+        startHosts(1);
+        assertTrue(find(1, "goes-on", null).endsWith(version));
+    }
+
     @Test
     void recordsAndStatementsAreRemovedWhenTheyAreOld() throws Exception {
         startHosts(1);
