Keep the line breaks at the begin of an event in an item's output

Cause: ItemRun joined the data lines of an event itself and wrote the line feed before a line only if the text so far was not empty. Also lost: a data field without a colon, which is an empty line; and an event without data, which is none, added a line break as if its data were empty.

Mended: StreamEvent reads the fields of an event as the format of server-sent events defines them, and JobProgress separates the data of events, not ids. No part of an output is stored, so none is joined by two builds; results that were stored before stay as they are.

--- a/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
+++ b/sesamepin-core/src/main/java/org/sesamepin/core/job/JobProgress.java
@@ -33,6 +33,9 @@
         private State mState = State.OPEN;
         private long mLastEventId;
 
+        /** Whether the output holds the data of an event, which may be empty. */
+        private boolean mHasData;
+
         /** Software that wrote the events held for the item; null when there are none. */
         private @Nullable TargetSoftware mSoftware;
 
@@ -218,6 +221,7 @@
 
     private static void dropEvents(Item item) {
         item.mOutput.setLength(0);
+        item.mHasData = false;
         item.mLastEventId = 0;
         item.mSoftware = null;
     }
@@ -246,17 +250,28 @@
         return mItems.get(index).mFirstStartedAt;
     }
 
-    /** Appends the data of the event {@code id} to the output of an item. */
-    public void appendEvent(int index, long id, String data) {
+    /**
+     * Records the event {@code id} of an item, and appends its data to the output of the item.
+     *
+     * @param data data of the event, which may be empty; null when it has none
+     */
+    public void appendEvent(int index, long id, @Nullable String data) {
         Item item = mItems.get(index);
-        if (item.mLastEventId > 0) {
-            item.mOutput.append('\n');
+        if (data != null) {
+            appendData(item, data);
         }
-        item.mOutput.append(data);
         item.mLastEventId = id;
         item.mRunEvents++;
     }
 
+    private static void appendData(Item item, String data) {
+        if (item.mHasData) {
+            item.mOutput.append('\n');
+        }
+        item.mHasData = true;
+        item.mOutput.append(data);
+    }
+
     /** Reopens an item that was suspended or that its target did not accept; it can run at once. */
     public void recordSuspension(int index, long now) {
         reopen(mItems.get(index), now);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -4,7 +4,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.sesamepin.core.job.ItemRunTimes;
 import org.sesamepin.core.job.JobItem;
@@ -12,6 +11,7 @@
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.http.StreamEvent;
 import org.sesamepin.node.serving.AttemptListener;
 import org.sesamepin.node.serving.CallHead;
 import org.sesamepin.node.serving.ResponseHead;
@@ -36,7 +36,6 @@
     private static final long NO_TIMER = -1;
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int UNPROCESSABLE_CONTENT = 422;
-    private static final String DATA_FIELD = "data:";
 
     private final ServingContext mContext;
     private final OwnedJob mJob;
@@ -195,7 +194,7 @@
         if (id == mResumeAfter + 1) {
             progress().recordStreamStart(mIndex, mTarget.software());
         }
-        progress().appendEvent(mIndex, id, joinDataLines(event));
+        progress().appendEvent(mIndex, id, StreamEvent.parse(event).data());
     }
 
     private void recordAnswerTime() {
@@ -211,21 +210,6 @@
         }
     }
 
-    private static String joinDataLines(Buffer event) {
-        StringBuilder joined = new StringBuilder();
-        for (String line : event.toString(StandardCharsets.UTF_8).split("\n")) {
-            if (!line.startsWith(DATA_FIELD)) {
-                continue;
-            }
-            if (joined.length() > 0) {
-                joined.append('\n');
-            }
-            String value = line.substring(DATA_FIELD.length());
-            joined.append(value.startsWith(" ") ? value.substring(1) : value);
-        }
-        return joined.toString();
-    }
-
     @Override
     public void onStreamEnded() {
         progress().recordStreamStart(mIndex, mTarget.software());
