Read events as the format defines them, in one reader

Seen (EngineStreamTest, EventStreamParserTest): an engine whose lines end with CR LF or CR gave no event, so it could not stream through either front end and its items were never done. Behind a byte order mark the first event lost its id. A comment, the usual keep-alive of event streams, counted as an event without an id and broke the attempt on the platform's front end and for items.

Cause: EventStreamParser knew one form of the format, lines that end with LF and blocks that are events. It was written, and tested, from the same example as the stand-ins.

Mended: the parser takes each kind of line end, also in two reads, and leaves out a byte order mark, which would stand in the middle of a resumed stream. Comments and blocks that are no events pass as they come, once an event has passed; more than 1 MiB of them between two events breaks the attempt, as an event of that size does. Bytes are forwarded as they came. Ids count with the spaces around them left out, since they go back in a header. ForwardedStream and CallerResponse are taken out of two classes that had grown too long.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
@@ -40,7 +40,7 @@
 
     private static long parse(String id) {
         try {
-            return Long.parseLong(id);
+            return Long.parseLong(id.strip());
         } catch (NumberFormatException e) {
             return UNNUMBERED;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
@@ -1,92 +1,188 @@
 package org.sesamepin.node.http;
 
 import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Splits a stream of server-sent events, so that only complete events are forwarded, and records
- * the id of the last one, after which an interrupted stream is resumed.
+ * Splits a stream of server-sent events into events, without changing their bytes. Lines end with
+ * LF, CR LF or CR; a byte order mark at the start is left out. Comments, blank lines and blocks
+ * that are not events pass as soon as they are complete, once the first event has passed; those
+ * before it are part of its bytes, since nothing of a response is forwarded before its first event.
  */
 public final class EventStreamParser {
-    /** Maximum size of an event, bytes. */
+    /** Maximum size of an event with the lines between it and the one before, bytes. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
-    private static final String ID_FIELD = "id:";
-    private static final String DONE_EVENT = "data: [DONE]";
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
 
-    private final Consumer<Buffer> mEventConsumer;
+    private final Consumer<StreamEvent> mEventConsumer;
+    private final Consumer<Buffer> mCommentConsumer;
+
+    /** Bytes that have not passed; those before {@link #mBlockStart} pass with the current part. */
     private Buffer mBuffer = Buffer.buffer();
-    private @Nullable String mLastEventId;
-    private @Nullable String mCurrentEventId;
-    private boolean mDone;
 
-    /** Creates a parser; {@code events} receives each complete event with its final blank line. */
-    public EventStreamParser(Consumer<Buffer> events) {
+    private int mBlockStart;
+    private int mLineStart;
+    private int mNext;
+    private boolean mAtStart = true;
+    private boolean mHasEvent;
+    private boolean mInEvent;
+
+    /** Size of the lines that have passed since the last event, bytes. */
+    private long mCommentBytes;
+
+    /** Whether the last line ended with a CR that was the last byte received. */
+    private boolean mMayEndWithLf;
+
+    /**
+     * Creates a parser.
+     *
+     * @param events receives each complete event
+     * @param comments receives complete lines between events, with their line ends
+     */
+    public EventStreamParser(Consumer<StreamEvent> events, Consumer<Buffer> comments) {
         mEventConsumer = events;
+        mCommentConsumer = comments;
     }
 
-    /** Parses the next received bytes; returns false when the current event is too large. */
+    /**
+     * Parses the next received bytes.
+     *
+     * @return whether the stream may go on; it may not once the current event, or what stands
+     *     between two events, is too large
+     */
     public boolean accept(Buffer part) {
-        int firstNew = Math.max(0, mBuffer.length() - 1);
         mBuffer.appendBuffer(part);
-        int eventStart = 0;
-        for (int i = firstNew; i + 1 < mBuffer.length(); i++) {
-            if (mBuffer.getByte(i) == '\n' && mBuffer.getByte(i + 1) == '\n') {
-                emit(mBuffer.getBuffer(eventStart, i + 2));
-                eventStart = i + 2;
-                i++;
-            }
+        if (mAtStart && !skipByteOrderMark()) {
+            return true;
         }
-        // A partial event is not copied with each part: that takes quadratic time for a long one.
-        if (eventStart > 0) {
-            mBuffer = mBuffer.getBuffer(eventStart, mBuffer.length());
+        skipSecondHalfOfLineEnd();
+        while (mNext < mBuffer.length()) {
+            byte current = mBuffer.getByte(mNext);
+            mNext++;
+            if (current == '\n') {
+                endLine(mNext - 1);
+            } else if (current == '\r') {
+                int contentEnd = mNext - 1;
+                mMayEndWithLf = true;
+                skipLf();
+                endLine(contentEnd);
+            }
         }
-        return mBuffer.length() <= MAX_EVENT_BYTES;
+        removePassedBytes();
+        return mBuffer.length() + mCommentBytes <= MAX_EVENT_BYTES;
     }
 
-    private void emit(Buffer event) {
-        String text = event.toString(StandardCharsets.UTF_8);
-        mCurrentEventId = null;
-        for (String line : text.split("\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                mCurrentEventId = line.substring(ID_FIELD.length()).strip();
-                mLastEventId = mCurrentEventId;
+    /** Removes a byte order mark; returns false while it has been received in part only. */
+    private boolean skipByteOrderMark() {
+        int known = Math.min(BYTE_ORDER_MARK.length, mBuffer.length());
+        for (int i = 0; i < known; i++) {
+            if (mBuffer.getByte(i) != BYTE_ORDER_MARK[i]) {
+                mAtStart = false;
+                return true;
             }
         }
-        mDone |= text.contains(DONE_EVENT);
+        if (known < BYTE_ORDER_MARK.length) {
+            return false;
+        }
+        mBuffer = mBuffer.getBuffer(known, mBuffer.length());
+        mAtStart = false;
+        return true;
+    }
+
+    /** Adds an LF to the line whose CR was the last byte of an earlier part. */
+    private void skipSecondHalfOfLineEnd() {
+        int before = mNext;
+        skipLf();
+        if (mNext == before) {
+            return;
+        }
+        mLineStart = mNext;
+        if (!mInEvent) {
+            passComment();
+        }
+    }
+
+    private void skipLf() {
+        if (!mMayEndWithLf || mNext == mBuffer.length()) {
+            return;
+        }
+        mMayEndWithLf = false;
+        if (mBuffer.getByte(mNext) == '\n') {
+            mNext++;
+        }
+    }
+
+    private void endLine(int contentEnd) {
+        boolean isBlank = contentEnd == mLineStart;
+        boolean isComment = !isBlank && mBuffer.getByte(mLineStart) == ':';
+        mLineStart = mNext;
+        if (!isBlank && !isComment) {
+            mInEvent = true;
+        } else if (!mInEvent) {
+            passComment();
+        } else if (isBlank) {
+            endBlock();
+        }
+    }
+
+    private void endBlock() {
+        mInEvent = false;
+        StreamEvent event = StreamEvent.parse(mBuffer.getBuffer(mBlockStart, mNext));
+        if (!event.isEvent()) {
+            passComment();
+            return;
+        }
+        mBlockStart = mNext;
+        mHasEvent = true;
+        mCommentBytes = 0;
         mEventConsumer.accept(event);
     }
 
-    /** Discards an incomplete event and a false end; called before the stream is resumed. */
-    public void discardPartialEvent() {
-        mBuffer = Buffer.buffer();
-        mDone = false;
+    private void passComment() {
+        if (!mHasEvent) {
+            return;
+        }
+        Buffer lines = mBuffer.getBuffer(mBlockStart, mNext);
+        mBlockStart = mNext;
+        mCommentBytes += lines.length();
+        mCommentConsumer.accept(lines);
     }
 
-    /** Returns the id of the event that the consumer is receiving, or null when it has none. */
-    public @Nullable String currentEventId() {
-        return mCurrentEventId;
+    /**
+     * An incomplete event is not copied with each part: that takes quadratic time for a long one.
+     */
+    private void removePassedBytes() {
+        if (mBlockStart == 0) {
+            return;
+        }
+        mBuffer = mBuffer.getBuffer(mBlockStart, mBuffer.length());
+        mNext -= mBlockStart;
+        mLineStart -= mBlockStart;
+        mBlockStart = 0;
     }
 
-    /** Returns the id of the last complete event that had one, or null. */
-    public @Nullable String lastEventId() {
-        return mLastEventId;
+    /** Discards what was received in part only; the bytes of another response follow. */
+    public void restart() {
+        mBuffer = Buffer.buffer();
+        mBlockStart = 0;
+        mLineStart = 0;
+        mNext = 0;
+        mAtStart = true;
+        mHasEvent = false;
+        mInEvent = false;
+        mCommentBytes = 0;
+        mMayEndWithLf = false;
     }
 
-    /** Returns the size of an event that was received in part only, bytes. */
+    /** Returns the size of what was received in part only, bytes. */
     public int bufferedBytes() {
         return mBuffer.length();
     }
 
     /** Returns whether an event has been received in part only. */
     public boolean hasPartialEvent() {
-        return mBuffer.length() > 0;
-    }
-
-    /** Returns whether the event {@code data: [DONE]} was received, which ends the stream. */
-    public boolean isDone() {
-        return mDone;
+        boolean isInLine = mLineStart < mBuffer.length();
+        return mInEvent || (isInLine && mBuffer.getByte(mLineStart) != ':');
     }
 }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/StreamEvent.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/StreamEvent.java
@@ -16,14 +16,27 @@
     private static final String ID_FIELD = "id";
     private static final String DATA_FIELD = "data";
 
+    /** The event that ends a stream of the OpenAI-compatible interface. */
+    private static final String DONE_EVENT = "data: [DONE]";
+
     /** Parses the lines of one event; bytes that are not UTF-8 become replacement characters. */
-    public static StreamEvent parse(Buffer bytes) {
+    static StreamEvent parse(Buffer bytes) {
         FieldReader reader = new FieldReader();
         bytes.toString(StandardCharsets.UTF_8).lines().forEach(reader::read);
         String data = reader.mData == null ? null : reader.mData.toString();
         return new StreamEvent(bytes, reader.mId, data);
     }
 
+    /** Returns whether there is an id or a text; a block without either is not an event. */
+    boolean isEvent() {
+        return id != null || data != null;
+    }
+
+    /** Returns whether this is the event {@code [DONE]}, the last one of a stream. */
+    public boolean isDone() {
+        return bytes.toString(StandardCharsets.UTF_8).contains(DONE_EVENT);
+    }
+
     /** Reads the fields of one event, line by line. */
     private static final class FieldReader {
         private @Nullable String mId;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/job/ItemRun.java
@@ -189,12 +189,12 @@
     public void onStreamStarted(ResponseHead head) {}
 
     @Override
-    public void onEvent(Buffer event, long id) {
+    public void onEvent(StreamEvent event, long id) {
         recordAnswerTime();
         if (id == mResumeAfter + 1) {
             progress().recordStreamStart(mIndex, mTarget.software());
         }
-        progress().appendEvent(mIndex, id, StreamEvent.parse(event).data());
+        progress().appendEvent(mIndex, id, event.data());
     }
 
     private void recordAnswerTime() {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -17,8 +17,6 @@
 import org.sesamepin.core.error.SesamepinException;
 import org.sesamepin.core.error.Step;
 import org.sesamepin.core.prompt.PromptQuarantine;
-import org.sesamepin.node.http.EventOrder;
-import org.sesamepin.node.http.EventStreamParser;
 import org.sesamepin.node.http.Problem;
 import org.sesamepin.node.http.ProblemType;
 import org.sesamepin.node.http.ResponseBody;
@@ -43,8 +41,8 @@
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MIN_CHECK_INTERVAL_MS = 10;
 
-    private final EventStreamParser mParser = new EventStreamParser(this::forwardEvent);
-    private final EventOrder mEventOrder = new EventOrder();
+    private final ForwardedStream mStream =
+            new ForwardedStream(mRequest.response(), mRequestId, this::recordFirstByte);
     private Buffer mBody = Buffer.buffer();
     private @Nullable CompletionBody mParsedBody;
     private @Nullable Model mModel;
@@ -54,7 +52,6 @@
     private ResponseMemory.@Nullable Holder mMemory;
     private long mLastProgressNanos;
     private long mProgressTimer = -1;
-    private long mForwardedEvents;
     private int mAttempt;
     private boolean mSent;
     private boolean mAborted;
@@ -156,7 +153,8 @@
         RequestOptions options =
                 TargetClient.requestOptions(target, mRequest.method(), mRequest.path());
         KeyFilter.copyHeaders(caller(), mRequest.headers(), options);
-        protocol.prepare(options, target, mRequestId, hasForwarded() ? mEventOrder.lastId() : null);
+        protocol.prepare(
+                options, target, mRequestId, mStream.hasBegun() ? mStream.lastEventId() : null);
         int attempt = mAttempt;
         mLastProgressNanos = System.nanoTime();
         startProgressTimer(attempt, lease);
@@ -230,8 +228,8 @@
             return;
         }
         String type = response.getHeader("Content-Type");
-        boolean isStream = type != null && type.startsWith("text/event-stream");
-        if (hasForwarded() && !(isStream && response.statusCode() < MIN_CLIENT_ERROR_STATUS)) {
+        boolean isStream = type != null && type.startsWith(ForwardedStream.MEDIA_TYPE);
+        if (mStream.hasBegun() && !(isStream && response.statusCode() < MIN_CLIENT_ERROR_STATUS)) {
             onAttemptFailed(
                     attempt,
                     lease,
@@ -323,21 +321,21 @@
                     if (hasEnded() || mTargetResponse != response) {
                         return;
                     }
-                    if (!mParser.accept(part)) {
+                    if (!mStream.accept(part)) {
                         onAttemptFailed(
                                 attempt,
                                 lease,
-                                responseFailure(lease, "an event of the stream is too large"));
+                                responseFailure(lease, "an event with its comments is too large"));
                         return;
                     }
-                    if (!mEventOrder.isIntact()) {
+                    if (!mStream.isIntact()) {
                         onAttemptFailed(
                                 attempt,
                                 lease,
                                 responseFailure(lease, "an event is missing or came twice"));
                         return;
                     }
-                    memory.resize(mParser.bufferedBytes());
+                    memory.resize(mStream.bufferedBytes());
                     applyBackpressure(response);
                 });
         response.exceptionHandler(e -> onAttemptFailed(attempt, lease, e));
@@ -346,21 +344,25 @@
                     if (hasEnded() || mTargetResponse != response) {
                         return;
                     }
-                    if (!mParser.isDone()) {
+                    if (!mStream.isDone()) {
                         onAttemptFailed(
                                 attempt,
                                 lease,
                                 responseFailure(lease, "the stream ended before its last event"));
                         return;
                     }
-                    stopProgressTimer();
-                    memory.release();
-                    mRequest.response().end();
-                    prompt().recordAnswer();
-                    complete();
+                    endStream();
                 });
     }
 
+    private void endStream() {
+        stopProgressTimer();
+        releaseMemory();
+        mRequest.response().end();
+        prompt().recordAnswer();
+        complete();
+    }
+
     private void applyBackpressure(HttpClientResponse response) {
         HttpServerResponse caller = mRequest.response();
         if (caller.writeQueueFull()) {
@@ -373,26 +375,6 @@
         }
     }
 
-    private void forwardEvent(Buffer event) {
-        if (!mEventOrder.accept(mParser.currentEventId())) {
-            return;
-        }
-        HttpServerResponse caller = mRequest.response();
-        if (!hasForwarded()) {
-            recordFirstByte();
-            caller.setChunked(true)
-                    .putHeader("Content-Type", "text/event-stream")
-                    .putHeader("Cache-Control", "no-store")
-                    .putHeader(TargetHeaders.REQUEST_ID, mRequestId);
-        }
-        mForwardedEvents++;
-        caller.write(event);
-    }
-
-    private boolean hasForwarded() {
-        return mForwardedEvents > 0;
-    }
-
     /**
      * Handles the failure of an attempt: resumes or retries the call at another target, or ends the
      * request if neither is possible.
@@ -405,18 +387,17 @@
         mAttempt++;
         stopProgressTimer();
         if (mTargetRequest != null) {
-            prompt().recordFailure(lease.target(), cause, mForwardedEvents);
+            prompt().recordFailure(lease.target(), cause, mStream.events());
         }
         resetTargetRequest();
         releaseSlot(true);
         recordRetry(lease, cause);
-        boolean canContinue = !hasForwarded() || (canResume(lease) && mEventOrder.lastId() != null);
+        boolean canContinue = !mStream.hasBegun() || (canResume(lease) && mStream.canResume());
         if (!canContinue) {
             fail(targetFailedProblem(lease, cause));
             return;
         }
-        mParser.discardPartialEvent();
-        mEventOrder.resume();
+        mStream.resume();
         tryAgain();
     }
 
@@ -491,7 +472,7 @@
     @Override
     protected void sendProblem(Problem problem) {
         HttpServerResponse response = mRequest.response();
-        if (!hasForwarded() || response.ended()) {
+        if (!mStream.hasBegun() || response.ended()) {
             super.sendProblem(problem);
             return;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/AttemptListener.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/AttemptListener.java
@@ -1,6 +1,7 @@
 package org.sesamepin.node.serving;
 
 import io.vertx.core.buffer.Buffer;
+import org.sesamepin.node.http.StreamEvent;
 
 /** Receives the progress and the end of a {@link TargetAttempt}. */
 public interface AttemptListener {
@@ -16,7 +17,10 @@
     void onStreamStarted(ResponseHead head);
 
     /** A complete event was received; events arrive in the order of their ids, without gaps. */
-    void onEvent(Buffer event, long id);
+    void onEvent(StreamEvent event, long id);
+
+    /** Lines between two events were received, such as comments; they belong to no event. */
+    default void onComment(Buffer lines) {}
 
     /** The stream has ended after a complete event. */
     void onStreamEnded();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/CallAttempts.java
@@ -8,6 +8,7 @@
 import org.sesamepin.core.call.CallPolicy;
 import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.http.StreamEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -203,10 +204,15 @@
         }
 
         @Override
-        public void onEvent(Buffer event, long id) {
+        public void onEvent(StreamEvent event, long id) {
             mCall.onEvent(event, id);
         }
 
+        @Override
+        public void onComment(Buffer lines) {
+            mCall.onComment(lines);
+        }
+
         @Override
         public void onStreamEnded() {
             begin(this);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/EventIds.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/EventIds.java
@@ -9,13 +9,16 @@
 
     private EventIds() {}
 
-    /** Returns the value of {@code id}, or {@link #NONE}. */
+    /**
+     * Returns the value of {@code id}, or {@link #NONE}. Spaces around it do not count: an id goes
+     * back to a target in a header, whose value has none.
+     */
     static long parse(@Nullable String id) {
         if (id == null) {
             return NONE;
         }
         try {
-            return Long.parseLong(id);
+            return Long.parseLong(id.strip());
         } catch (NumberFormatException e) {
             return NONE;
         }
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/Exchange.java
@@ -20,7 +20,7 @@
 import org.sesamepin.core.target.RequestSize;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.node.http.Problem;
-import org.sesamepin.node.http.ResponseMemory;
+import org.sesamepin.node.http.StreamEvent;
 import org.sesamepin.node.prompt.QuarantineProblems;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +37,7 @@
 
     private final ServingContext mContext;
     private final HttpServerResponse mResponse;
+    private final CallerResponse mCaller;
     private final CallHead mHead;
     private final Buffer mBody;
     private final RequestSize mSize;
@@ -78,6 +79,7 @@
             Runnable onEnd) {
         mContext = context;
         mResponse = request.response();
+        mCaller = new CallerResponse(context, mResponse);
         mHead = head;
         mBody = body;
         mSize = context.protocol().requestSize(head.forwardedHeaders());
@@ -301,7 +303,7 @@
     }
 
     @Override
-    public void onEvent(Buffer event, long eventId) {
+    public void onEvent(StreamEvent event, long eventId) {
         TargetAttempt attempt = mAttempts.current();
         if (mEnded || attempt == null) {
             return;
@@ -309,10 +311,14 @@
         mLastEventId = eventId;
         mVersion = attempt.target().version();
         writeHeadOnce();
-        mResponse.write(event);
-        if (mResponse.writeQueueFull()) {
-            attempt.setPaused(true);
-            mResponse.drainHandler(v -> attempt.setPaused(false));
+        mCaller.writePart(event.bytes(), attempt);
+    }
+
+    @Override
+    public void onComment(Buffer lines) {
+        TargetAttempt attempt = mAttempts.current();
+        if (!mEnded && attempt != null) {
+            mCaller.writePart(lines, attempt);
         }
     }
 
@@ -323,8 +329,7 @@
         }
         mPolicy.recordForwarded();
         recordFirstByte();
-        writeHead(head);
-        mResponse.setChunked(true);
+        mCaller.startStream(head);
     }
 
     private void recordFirstByte() {
@@ -333,18 +338,6 @@
         mContext.metrics().observeTimeToFirstByte(mRoute.name(), nanos);
     }
 
-    private void writeHead(ResponseHead head) {
-        mResponse.setStatusCode(head.status());
-        mResponse.headers().addAll(head.forwardedHeaders());
-        closeWhenDraining();
-    }
-
-    private void closeWhenDraining() {
-        if (mContext.state().isDraining()) {
-            mResponse.putHeader("Connection", "close");
-        }
-    }
-
     @Override
     public void onStreamEnded() {
         run(this::endStream);
@@ -376,11 +369,7 @@
             return;
         }
         recordFirstByte();
-        writeHead(head);
-        ResponseMemory.Holder memory =
-                mContext.targetClient().responseMemory().newHolder(mResponse::reset);
-        memory.resize(body.length());
-        mResponse.end(body).onComplete(written -> memory.release());
+        mCaller.writeWhole(head, body);
         finish(head.isSuccess() ? "served" : "target-status-" + head.status(), "");
     }
 
@@ -456,8 +445,7 @@
     }
 
     private void sendProblem(Problem problem) {
-        closeWhenDraining();
-        mContext.protocol().sendProblem(mResponse, problem, mHead.id());
+        mCaller.writeProblem(problem, mHead.id());
         finish(problem.type().label(), "status=" + problem.type().status());
     }
 
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/StreamEventGate.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.sesamepin.node.http.StreamEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,7 +47,7 @@
     }
 
     @Override
-    public void onEvent(Buffer event, long id) {
+    public void onEvent(StreamEvent event, long id) {
         if (!mStarted) {
             mStarted = true;
             if (mReplaced.getAsBoolean()) {
@@ -59,6 +60,11 @@
         pass(() -> mListener.onEvent(event, id));
     }
 
+    @Override
+    public void onComment(Buffer lines) {
+        pass(() -> mListener.onComment(lines));
+    }
+
     private void cancel() {
         TargetAttempt attempt = mAttempt;
         if (attempt != null) {
--- a/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/serving/TargetAttempt.java
@@ -16,6 +16,7 @@
 import org.sesamepin.node.http.IdleTimeout;
 import org.sesamepin.node.http.ResponseBody;
 import org.sesamepin.node.http.ResponseMemory;
+import org.sesamepin.node.http.StreamEvent;
 import org.sesamepin.node.prompt.LostTarget;
 import org.sesamepin.node.tunnel.TunnelClient;
 import org.slf4j.Logger;
@@ -71,7 +72,8 @@
     private final TargetLoad mLoad;
     private final Plan mPlan;
     private final AttemptListener mListener;
-    private final EventStreamParser mParser = new EventStreamParser(this::onParsedEvent);
+    private final EventStreamParser mParser =
+            new EventStreamParser(this::onParsedEvent, this::onParsedComment);
     private final ResponseMemory.Holder mEventMemory;
     private @Nullable HttpClientRequest mRequest;
     private @Nullable HttpClientResponse mResponse;
@@ -300,7 +302,7 @@
         }
         mIdleTimeout.recordProgress();
         if (!mParser.accept(chunk)) {
-            endInterrupted("event exceeds the size limit");
+            endInterrupted("event, with the lines before it, exceeds the size limit");
             return;
         }
         if (!mEnded) {
@@ -308,14 +310,13 @@
         }
     }
 
-    private void onParsedEvent(Buffer event) {
+    private void onParsedEvent(StreamEvent event) {
         if (mEnded) {
             return;
         }
-        long id = EventIds.parse(mParser.lastEventId());
+        long id = EventIds.parse(event.id());
         if (id != mLastEventId + 1) {
-            endInterrupted(
-                    "event " + mParser.lastEventId() + " does not follow event " + mLastEventId);
+            endInterrupted("event " + event.id() + " does not follow event " + mLastEventId);
             return;
         }
         mLastEventId = id;
@@ -324,6 +325,12 @@
         mListener.onEvent(event, id);
     }
 
+    private void onParsedComment(Buffer lines) {
+        if (!mEnded) {
+            mListener.onComment(lines);
+        }
+    }
+
     private void onStreamEnd() {
         if (mEnded) {
             return;
--- a/sesamepin-node/src/test/java/org/sesamepin/node/job/ItemOutputTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/job/ItemOutputTest.java
@@ -11,9 +11,12 @@
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
@@ -28,6 +31,7 @@
 import org.sesamepin.core.job.JobSummary;
 import org.sesamepin.core.serving.ServingRoute;
 import org.sesamepin.core.target.TargetInstance;
+import org.sesamepin.node.http.RandomEvents;
 import org.sesamepin.node.serving.RawTarget;
 
 /** Compares the texts that targets wrote for the items of a job with those of its results. */
@@ -35,6 +39,11 @@
     private static final ServingRoute ROUTE = JobHost.batchRoute(0);
     private static final String JOB = "job";
     private static final long DONE_WITHIN_MS = 30_000;
+    private static final int SEEDS = 100;
+
+    /** Number of items of which one breaks off; targets that fail get fewer items for a while. */
+    private static final int BREAK_OFF_ONE_IN = 4;
+
     private static final int MAX_CHUNK_BYTES = 30;
     private static final Pattern ID = Pattern.compile("(?im)^id: (\\S+)");
     private static final Pattern AFTER = Pattern.compile("(?im)^after: (\\d+)");
@@ -199,4 +208,57 @@
         Buffer stream = Buffer.buffer("id: 1\ndata\ndata: a\n\n");
         assertEquals(Map.of("i", "\na"), runItem((item, after) -> stream));
     }
+
+    /** Guards against texts that change in any form of the stream, or by a resumption. */
+    @Test
+    void randomTextsAreWholeAlsoWhenTheirStreamsAreResumed() throws Exception {
+        List<String> items = new ArrayList<>();
+        Map<String, RandomEvents> events = new HashMap<>();
+        Map<String, String> expected = new HashMap<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            String item = "i" + seed;
+            RandomEvents texts = new RandomEvents(new Random(seed));
+            items.add(item);
+            events.put(item, texts);
+            expected.put(item, String.join("\n", texts.texts()));
+        }
+        Random cuts = new Random(SEEDS);
+        Set<String> toBreakOff = new HashSet<>();
+        for (int i = 0; i < SEEDS; i += BREAK_OFF_ONE_IN) {
+            toBreakOff.add(items.get(i));
+        }
+        Streams streams = (item, after) -> Objects.requireNonNull(events.get(item)).stream(after);
+        Map<String, String> outputs =
+                run(
+                        items,
+                        (socket, head, n) -> {
+                            Matcher id = ID.matcher(head);
+                            boolean breaksOff = id.find() && toBreakOff.remove(id.group(1));
+                            if (breaksOff) {
+                                breakOff(socket, id.group(1), streams, cuts);
+                            } else {
+                                answer(socket, head, streams, cuts);
+                            }
+                        });
+        List<String> wrong = new ArrayList<>();
+        for (String item : items) {
+            if (!Objects.equals(expected.get(item), outputs.get(item))) {
+                wrong.add(item + (outputs.containsKey(item) ? " differs" : " has no result"));
+            }
+        }
+        assertEquals(List.of(), wrong);
+        assertEquals(outputs, outputs(startHost("b")), "from the store");
+    }
+
+    /** Sends the begin of a stream and closes the connection. */
+    private static void breakOff(NetSocket socket, String item, Streams streams, Random cuts) {
+        Buffer stream = streams.stream(item, 0);
+        Buffer part = stream.getBuffer(0, cuts.nextInt(stream.length()));
+        Buffer response = Buffer.buffer(RawTarget.streamHead(item));
+        if (part.length() > 0) {
+            response.appendString(Integer.toHexString(part.length()) + "\r\n");
+            response.appendBuffer(part).appendString("\r\n");
+        }
+        socket.write(response).onComplete(written -> socket.close());
+    }
 }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/AttemptRecorder.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/AttemptRecorder.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sesamepin.core.prompt.PromptParts;
+import org.sesamepin.node.http.StreamEvent;
 
 /** Records the progress and the end of an attempt as texts, for comparison. */
 final class AttemptRecorder implements AttemptListener {
@@ -50,10 +51,15 @@
     }
 
     @Override
-    public void onEvent(Buffer event, long id) {
+    public void onEvent(StreamEvent event, long id) {
         mEvents.add("event " + id);
     }
 
+    @Override
+    public void onComment(Buffer lines) {
+        mEvents.add("comment");
+    }
+
     @Override
     public void onStreamEnded() {
         mEnd.complete("ended");
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/EndlessResponseTest.java
@@ -28,6 +28,7 @@
 import org.sesamepin.core.prompt.PromptParts;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
+import org.sesamepin.node.http.StreamEvent;
 
 /**
  * Tests that a target which sends bytes without end costs bounded memory and time: the attempt
@@ -142,7 +143,7 @@
         public void onStreamStarted(ResponseHead head) {}
 
         @Override
-        public void onEvent(Buffer event, long id) {}
+        public void onEvent(StreamEvent event, long id) {}
 
         @Override
         public void onStreamEnded() {
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/ResumedStreamTest.java
@@ -244,6 +244,51 @@
         assertTrue(isComplete(response), response);
     }
 
+    /** Guards against streams that no caller gets whole because of the form they are written in. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", "\r"})
+    void bytesOfEventsAreForwardedAsTheyCame(String lineEnd) throws Exception {
+        String first =
+                ": begin\n\nretry: 9\n\nid: 1\nevent: text\ndata:\n\n: ping\n\n"
+                        .replace("\n", lineEnd);
+        String rest = "x: y\nid: 2\ndata\ndata:  b\n: within\n\n: end\n\n".replace("\n", lineEnd);
+        int port =
+                startServer(
+                        2,
+                        (socket, number) -> {
+                            if (number == 1) {
+                                String part = first + "id: 2" + lineEnd + "da";
+                                socket.write(RawTarget.streamHead("r1") + chunk(part))
+                                        .onSuccess(v -> socket.close());
+                            } else {
+                                String stream = chunk(rest) + RawTarget.lastChunk();
+                                socket.write(RawTarget.streamHead("r1") + stream);
+                            }
+                        });
+        String response = call(port);
+        assertTrue(isComplete(response), response);
+        assertEquals(first + rest, contentOf(response));
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** Returns the content of a response in chunks. */
+    private static String contentOf(String response) {
+        StringBuilder content = new StringBuilder();
+        int at = response.indexOf(HEAD_END) + HEAD_END.length();
+        int length;
+        do {
+            int lineEnd = response.indexOf("\r\n", at);
+            length = Integer.parseInt(response.substring(at, lineEnd), 16);
+            at = lineEnd + 2;
+            content.append(response, at, at + length);
+            at += length + 2;
+        } while (length > 0);
+        return content.toString();
+    }
+
     private static String continuation() {
         return RawTarget.streamHead("r1") + RawTarget.event(3) + RawTarget.lastChunk();
     }
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/StreamEventGateTest.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.sesamepin.node.http.StreamEvent;
 
 /** Checks that no event passes before it is recorded which software writes the stream. */
 class StreamEventGateTest {
-    private static final Buffer EVENT = Buffer.buffer("id: 1\n\n");
+    private static final StreamEvent EVENT =
+            new StreamEvent(Buffer.buffer("id: 1\ndata: a\n\n"), "1", "a");
 
     private final List<String> mPassed = new ArrayList<>();
     private final Promise<Void> mRecorded = Promise.promise();
@@ -26,13 +28,18 @@
         public void onStreamStarted(ResponseHead head) {}
 
         @Override
-        public void onEvent(Buffer event, long id) {
+        public void onEvent(StreamEvent event, long id) {
             if (id == mFailingEvent) {
                 throw new IllegalStateException("event " + id);
             }
             mPassed.add("event " + id);
         }
 
+        @Override
+        public void onComment(Buffer lines) {
+            mPassed.add("comment");
+        }
+
         @Override
         public void onStreamEnded() {
             mPassed.add("end");
@@ -75,6 +82,18 @@
         assertEquals(1, mRecords);
     }
 
+    /** Guards against lines that change their place among the events that were held back. */
+    @Test
+    void linesBetweenEventsKeepTheirPlace() {
+        StreamEventGate gate = gate(false);
+        gate.onEvent(EVENT, 1);
+        gate.onComment(Buffer.buffer(": ping\n"));
+        gate.onEvent(EVENT, 2);
+        mRecorded.complete();
+        gate.onComment(Buffer.buffer(": ping\n"));
+        assertEquals(List.of("event 1", "comment", "event 2", "comment"), mPassed);
+    }
+
     @Test
     void eventsPassWhenTheRecordFails() {
         StreamEventGate gate = gate(false);
--- a/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/serving/TargetAttemptTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamepin.core.target.TargetInstance;
 import org.sesamepin.core.target.TargetState;
 
@@ -187,6 +188,33 @@
         assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk(event(1)) + LAST_CHUNK, false));
     }
 
+    /** Guards against a keep-alive that is taken for an event out of order. */
+    @Test
+    void commentsDoNotBreakTheStream() throws Exception {
+        String first = chunk(": begin\n\n" + event(1)) + chunk(": ping\n\n");
+        String rest = chunk(event(2)) + chunk(": end\n") + LAST_CHUNK;
+        assertEquals("ended", run(EVENTS + first + rest, false));
+        assertEquals(
+                List.of("sent", "stream", "event 1", "comment", "comment", "event 2", "comment"),
+                mRecorder.events());
+    }
+
+    /** Guards against an event whose place is not known, which a resumption could repeat. */
+    @ParameterizedTest
+    @ValueSource(strings = {"data: x\n\n", "id\ndata: x\n\n", "id: 2x\ndata: x\n\n", "id: 3\n\n"})
+    void eventWithoutTheNextIdBreaksTheStream(String event) throws Exception {
+        String events = chunk(event(1)) + chunk(event) + chunk(event(2)) + LAST_CHUNK;
+        assertEquals("broken", run(EVENTS + events, false));
+        assertEquals(List.of("sent", "stream", "event 1"), mRecorder.events());
+    }
+
+    /** Guards against the loss of a stream whose ids have spaces around them. */
+    @Test
+    void spacesAroundAnIdDoNotCount() throws Exception {
+        String events = chunk("id:  1 \ndata: x\n\n") + chunk(event(2)) + LAST_CHUNK;
+        assertEquals("ended", run(EVENTS + events, false));
+    }
+
     @Test
     void incompleteEventIsNotForwarded() throws Exception {
         assertEquals("broken", run(EVENTS + chunk(event(1)) + chunk("id: 2\nda"), true));
