End a stream only with the event [DONE], not with a text that holds it

Seen (EngineStreamTest, 3 cases, failed before): on the own API an answer whose text holds "data: [DONE]" counted as whole from there on. When its engine broke off behind it, in a response that ends with its connection, the caller got half an answer as a whole one. The load tool counted such answers as whole, too.

Cause: the parser looked for these characters anywhere in an event.

Mended: an event ends the stream if its data is [DONE], with or without a space after the colon.

--- a/sesamepin-cli/src/main/java/org/sesamepin/cli/LoadRun.java
+++ b/sesamepin-cli/src/main/java/org/sesamepin/cli/LoadRun.java
@@ -16,6 +16,8 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.sesamepin.core.config.PropertyDescriptor;
+import org.sesamepin.node.http.EventStreamParser;
+import org.sesamepin.node.http.StreamEvent;
 
 /**
  * Sends streaming requests on a schedule that does not wait for responses (an open-loop load
@@ -121,7 +123,9 @@
     private final class ResponseRecorder {
         private final long mDueAtNanos;
         private final boolean mMeasured;
-        private final StringBuilder mText = new StringBuilder();
+        private final EventStreamParser mParser =
+                new EventStreamParser(this::onEvent, comment -> {});
+        private boolean mDone;
         private long mLastPartAtNanos;
         private boolean mEnded;
 
@@ -147,7 +151,11 @@
                 histogram.recordValue(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
             }
             mLastPartAtNanos = nowNanos;
-            mText.append(part.toString());
+            mParser.accept(part);
+        }
+
+        private void onEvent(StreamEvent event) {
+            mDone |= event.isDone();
         }
 
         void onEnd(int status) {
@@ -157,7 +165,7 @@
             mEnded = true;
             if (status == STATUS_TOO_MANY_REQUESTS) {
                 mRateLimitedCount.incrementAndGet();
-            } else if (status == STATUS_OK && mText.indexOf("data: [DONE]") >= 0) {
+            } else if (status == STATUS_OK && mDone) {
                 mResponseMicros.recordValue(
                         TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - mDueAtNanos));
                 mCompleteCount.incrementAndGet();
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/StreamEvent.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/StreamEvent.java
@@ -16,8 +16,8 @@
     private static final String ID_FIELD = "id";
     private static final String DATA_FIELD = "data";
 
-    /** The event that ends a stream of the OpenAI-compatible interface. */
-    private static final String DONE_EVENT = "data: [DONE]";
+    /** Data of the event that ends a stream of the OpenAI-compatible interface. */
+    private static final String DONE_DATA = "[DONE]";
 
     /** Parses the lines of one event; bytes that are not UTF-8 become replacement characters. */
     static StreamEvent parse(Buffer bytes) {
@@ -34,7 +34,7 @@
 
     /** Returns whether this is the event {@code [DONE]}, the last one of a stream. */
     public boolean isDone() {
-        return bytes.toString(StandardCharsets.UTF_8).contains(DONE_EVENT);
+        return DONE_DATA.equals(data);
     }
 
     /** Reads the fields of one event, line by line. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/EventStreamParserTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/EventStreamParserTest.java
@@ -195,6 +195,16 @@
         assertEquals(List.of(" x ", "a", "b", "c"), data());
     }
 
+    /** Guards against a text that ends the stream because it holds the marker of its end. */
+    @Test
+    void onlyTheWholeMarkerIsTheEnd() {
+        accept("data: {\"text\":\"data: [DONE]\"}\n\n");
+        accept("data: [DONE] \n\ndata: x\ndata: [DONE]\n\n: data: [DONE]\n\n");
+        assertFalse(mParsed.stream().anyMatch(StreamEvent::isDone));
+        accept("id: 4\r\ndata:[DONE]\r\n\r\n");
+        assertTrue(mParsed.get(mParsed.size() - 1).isDone());
+    }
+
     /** Guards against bytes that are no UTF-8 and change the text beside them. */
     @Test
     void bytesThatAreNoTextAreReplaced() {
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -130,6 +131,21 @@
         assertEquals(mStream, call());
     }
 
+    /** Guards against half an answer that counts as whole, since its text is that of the end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "data: {\"text\":\"data: [DONE]\"}\n\n",
+                "data: [DONE] is the end\n\n",
+                "data: a\ndata: [DONE]\n\n"
+            })
+    void textOfTheEndMarkerIsNotTheEnd(String event) throws Exception {
+        mStream = event;
+        String answer = call();
+        assertTrue(answer.startsWith(event), answer);
+        assertTrue(answer.contains("event: error"), answer);
+    }
+
     /** Guards against bytes that a resumption changes. */
     @Test
     void continuationIsForwardedAsItCame() throws Exception {
