End a call whose connection fails behind the last event as answered

Seen (EngineStreamTest#breakBehindTheEndIsNoFailure, failed before): on the own API an engine that failed behind the event [DONE], before the end of its response, was a failed attempt. The stream was resumed and ended with a second [DONE], or with an error event behind the whole answer.

Cause: only the end of the response ended a call, although the caller had it all.

Mended: a failure behind the event [DONE] ends the call as answered.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -384,6 +384,11 @@
         if (hasEnded() || mAborted || attempt != mAttempt) {
             return;
         }
+        if (mStream.isDone()) {
+            resetTargetRequest();
+            endStream();
+            return;
+        }
         mAttempt++;
         stopProgressTimer();
         if (mTargetRequest != null) {
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -146,6 +146,16 @@
         assertTrue(answer.contains("event: error"), answer);
     }
 
+    /** Guards against an error, or a second end, behind the whole answer. */
+    @Test
+    void breakBehindTheEndIsNoFailure() throws Exception {
+        mStream = "id: 1\ndata: a\n\n" + DONE;
+        mContinuation = DONE;
+        mBreaksOff = true;
+        assertEquals(mStream, call());
+        assertEquals(0, mResumptions.size());
+    }
+
     /** Guards against bytes that a resumption changes. */
     @Test
     void continuationIsForwardedAsItCame() throws Exception {
