Resume no stream behind an event without an id

Seen (EngineStreamTest#streamIsNotResumedBehindAnEventWithoutAnId, failed before): on the own API a stream that broke off behind an event without an id, among events with ids, was resumed after the last id, so the caller got that event twice.

Cause: EventOrder kept the last id and forgot that an event had come since.

Mended: such a stream ends with an error event. An empty id counts as none, as the format has it. Streams whose events all have ids are resumed as before.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
@@ -12,22 +12,27 @@
     private @Nullable String mLastId;
     private boolean mIntact = true;
 
+    /** Whether the last accepted event had an id. */
+    private boolean mLastHasId;
+
     /**
      * Checks the next event.
      *
-     * @param id id of the event; null for none
+     * @param id id of the event; null or empty for none
      * @return whether the event may be forwarded; after the first one that may not, none may
      */
     public boolean accept(@Nullable String id) {
         if (!mIntact) {
             return false;
         }
-        if (id == null) {
+        if (id == null || id.isEmpty()) {
+            mLastHasId = false;
             return true;
         }
         mIntact = mLastId == null || follows(id, mLastId);
         if (mIntact) {
             mLastId = id;
+            mLastHasId = true;
         }
         return mIntact;
     }
@@ -58,6 +63,14 @@
         mIntact = true;
     }
 
+    /**
+     * Returns whether the stream can be resumed after the last accepted event. Behind an event
+     * without an id, a target would send that event again.
+     */
+    public boolean canResume() {
+        return mLastHasId;
+    }
+
     /** Returns the id of the last accepted event that had one, or null. */
     public @Nullable String lastId() {
         return mLastId;
--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/ForwardedStream.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/ForwardedStream.java
@@ -87,7 +87,7 @@
 
     /** Returns whether a target can go on after the last event forwarded. */
     boolean canResume() {
-        return mOrder.lastId() != null;
+        return mOrder.canResume();
     }
 
     /** Returns the id after which a target has to go on; null before the first event. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/EventOrderTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/EventOrderTest.java
@@ -37,6 +37,21 @@
         assertTrue(mOrder.accept("2"));
     }
 
+    /** Guards against a resumption that repeats an event without an id. */
+    @Test
+    void streamCannotBeResumedBehindAnEventWithoutAnId() {
+        assertFalse(mOrder.canResume());
+        mOrder.accept("1");
+        assertTrue(mOrder.canResume());
+        mOrder.accept(null);
+        assertFalse(mOrder.canResume());
+        mOrder.accept("2");
+        assertTrue(mOrder.canResume());
+        mOrder.accept("");
+        assertFalse(mOrder.canResume());
+        assertEquals("2", mOrder.lastId());
+    }
+
     @Test
     void idsThatAreNoNumbersAreNotCompared() {
         assertTrue(mOrder.accept("a"));
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -1,6 +1,7 @@
 package org.sesamepin.test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
@@ -156,6 +157,17 @@
         assertEquals(0, mResumptions.size());
     }
 
+    /** Guards against an event that a resumption repeats since it has no id. */
+    @Test
+    void streamIsNotResumedBehindAnEventWithoutAnId() throws Exception {
+        mStream = "id: 1\ndata: a\n\ndata: b\n\n";
+        mContinuation = "data: b\n\nid: 2\ndata: c\n\n" + DONE;
+        mBreaksOff = true;
+        String answer = call();
+        assertTrue(answer.startsWith(mStream + "event: error"), answer);
+        assertFalse(answer.contains("data: c"), answer);
+    }
+
     /** Guards against bytes that a resumption changes. */
     @Test
     void continuationIsForwardedAsItCame() throws Exception {
