Compare the media type of a stream without its case

Seen (EngineStreamTest#mediaTypeOfAStreamHasNoCase, failed before): on the own API a stream of the type Text/Event-Stream was taken for a whole body, so it was neither forwarded as it came nor resumed when it broke off.

Cause: the type was compared with its case; the platform's front end does not.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sesamepin.core.bundle.Model;
@@ -228,7 +229,9 @@
             return;
         }
         String type = response.getHeader("Content-Type");
-        boolean isStream = type != null && type.startsWith(ForwardedStream.MEDIA_TYPE);
+        boolean isStream =
+                type != null
+                        && type.toLowerCase(Locale.ROOT).startsWith(ForwardedStream.MEDIA_TYPE);
         if (mStream.hasBegun() && !(isStream && response.statusCode() < MIN_CLIENT_ERROR_STATUS)) {
             onAttemptFailed(
                     attempt,
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -132,6 +132,16 @@
         assertEquals(mStream, call());
     }
 
+    /** Guards against a stream that is taken for a whole body because of its media type's case. */
+    @Test
+    void mediaTypeOfAStreamHasNoCase() throws Exception {
+        mContentType = "Text/Event-Stream; charset=utf-8";
+        mStream = "id: 1\ndata: a\n\n";
+        mBreaksOff = true;
+        mContinuation = "id: 2\ndata: b\n\n" + DONE;
+        assertEquals(mStream + mContinuation, call());
+    }
+
     /** Guards against half an answer that counts as whole, since its text is that of the end. */
     @ParameterizedTest
     @ValueSource(
