--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/EngineStandIn.java
@@ -256,7 +256,7 @@
             }
             response.write(generation.lastTokenEvent());
             if (last) {
-                response.end("data: [DONE]\n\n");
+                response.end(generation.doneEvent());
             }
         } else if (last) {
             putRequestIdHeader(response, generation)
--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/Generation.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/engine/Generation.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,10 +15,17 @@
  * the response to another request.
  */
 final class Generation {
+    /** Line ends of the streams; engines differ in which one they use. */
+    private static final List<String> LINE_ENDS = List.of("\n", "\r\n", "\r");
+
+    /** Number of events from one comment between them to the next. */
+    private static final int COMMENT_INTERVAL = 8;
+
     private final String mRequestId;
     private final String mModel;
     private final String mPromptHash;
     private final int mMaxTokens;
+    private final String mLineEnd;
     private final boolean mStream;
     private final boolean mChat;
     private final long mKvTokens;
@@ -37,6 +45,7 @@
         mModel = model;
         mPromptHash = Integer.toHexString(prompt.hashCode());
         mMaxTokens = tokens;
+        mLineEnd = LINE_ENDS.get(Math.floorMod(requestId.hashCode(), LINE_ENDS.size()));
         mStream = stream;
         mChat = chat;
         mKvTokens = prompt.length() / 4 + tokens;
@@ -78,13 +87,23 @@
         return mGeneratedTokens >= mMaxTokens;
     }
 
-    /** Returns the server-sent event for the token that was generated last. */
+    /** Returns the server-sent event for the token that was generated last, some with a comment. */
     Buffer lastTokenEvent() {
         int index = mGeneratedTokens - 1;
         JsonObject chunk = envelope(mChat ? "chat.completion.chunk" : "text_completion");
         boolean last = mGeneratedTokens >= mMaxTokens;
         chunk.put("choices", new JsonArray().add(choice(tokenText(index), true, last)));
-        return Buffer.buffer("id: " + mGeneratedTokens + "\ndata: " + chunk.encode() + "\n\n");
+        String comment = mGeneratedTokens % COMMENT_INTERVAL == 0 ? ": ping\n\n" : "";
+        return event(comment + "id: " + mGeneratedTokens + "\ndata: " + chunk.encode() + "\n\n");
+    }
+
+    /** Returns the server-sent event that ends a stream. */
+    Buffer doneEvent() {
+        return event("data: [DONE]\n\n");
+    }
+
+    private Buffer event(String lines) {
+        return Buffer.buffer(lines.replace("\n", mLineEnd));
     }
 
     /** Returns the body of the complete response to a request without streaming. */
