Resume no stream behind an id that no header can carry

Found by reading, and by a call of the HTTP library, which refuses a header value with a control character: on the own API an engine may number its events with an id that cannot go back to it. When such a stream broke off, the headers of the resumption failed outside of any handler of failures, after a slot was taken, and no timer watched the call. An id that is not ASCII arrived as another one.

Mended: such a stream ends with an error event, as one behind an event without an id. EngineStreamTest and EventOrderTest have the case.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventOrder.java
@@ -8,11 +8,13 @@
  */
 public final class EventOrder {
     private static final long UNNUMBERED = -1;
+    private static final char FIRST_PRINTABLE = ' ';
+    private static final char LAST_PRINTABLE = '~';
 
     private @Nullable String mLastId;
     private boolean mIntact = true;
 
-    /** Whether the last accepted event had an id. */
+    /** Whether the last accepted event had an id that a header can carry. */
     private boolean mLastHasId;
 
     /**
@@ -32,11 +34,16 @@
         mIntact = mLastId == null || follows(id, mLastId);
         if (mIntact) {
             mLastId = id;
-            mLastHasId = true;
+            mLastHasId = canBeHeader(id);
         }
         return mIntact;
     }
 
+    /** Returns whether a target can be told an id, which goes back to it in a header. */
+    private static boolean canBeHeader(String id) {
+        return id.chars().allMatch(c -> c >= FIRST_PRINTABLE && c <= LAST_PRINTABLE);
+    }
+
     private static boolean follows(String id, String lastId) {
         long number = parse(id);
         long lastNumber = parse(lastId);
--- a/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/http/EventStreamParser.java
@@ -22,10 +22,19 @@
     private Buffer mBuffer = Buffer.buffer();
 
     private int mBlockStart;
+
+    /** Position in the buffer at which the current line starts. */
     private int mLineStart;
+
+    /** Position in the buffer of the first byte that has not been looked at. */
     private int mNext;
+
     private boolean mAtStart = true;
+
+    /** Whether an event of this response has passed. */
     private boolean mHasEvent;
+
+    /** Whether the current block has a line that is neither blank nor a comment. */
     private boolean mInEvent;
 
     /** Size of the lines that have passed since the last event, bytes. */
--- a/sesamepin-node/src/test/java/org/sesamepin/node/http/EventOrderTest.java
+++ b/sesamepin-node/src/test/java/org/sesamepin/node/http/EventOrderTest.java
@@ -52,6 +52,17 @@
         assertEquals("2", mOrder.lastId());
     }
 
+    /** Guards against an id that cannot be sent, or arrives as another one, in a header. */
+    @Test
+    void streamCannotBeResumedBehindAnIdThatNoHeaderCarries() {
+        for (String id : new String[] {"a\u000bb", "a\fb", "a\u0001", "\u00e9", "\u2028"}) {
+            assertTrue(mOrder.accept(id));
+            assertFalse(mOrder.canResume());
+        }
+        assertTrue(mOrder.accept("a b~7"));
+        assertTrue(mOrder.canResume());
+    }
+
     @Test
     void idsThatAreNoNumbersAreNotCompared() {
         assertTrue(mOrder.accept("a"));
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -178,6 +178,16 @@
         assertFalse(answer.contains("data: c"), answer);
     }
 
+    /** Guards against a caller that waits for ever for a resumption that cannot be asked for. */
+    @Test
+    void streamIsNotResumedBehindAnIdThatNoHeaderCarries() throws Exception {
+        mStream = "id: a\u000b1\ndata: a\n\n";
+        mContinuation = "id: a\u000b2\ndata: b\n\n" + DONE;
+        mBreaksOff = true;
+        String answer = call();
+        assertTrue(answer.startsWith(mStream + "event: error"), answer);
+    }
+
     /** Guards against bytes that a resumption changes. */
     @Test
     void continuationIsForwardedAsItCame() throws Exception {
