End a call once when its connection fails behind the last event

Seen (EngineStreamTest#breakBehindTheEndIsNoFailure, which looks at the log now and failed before): since such a call ended as answered and logged an unhandled exception, "Response has already been written".

Cause: closing the target's connection told of the same failure once more, before the call was over, so it was ended twice.

Mended: the attempt counts as over before its connection is closed, as for any other failure.

--- a/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
+++ b/sesamepin-node/src/main/java/org/sesamepin/node/online/CompletionRequest.java
@@ -387,13 +387,13 @@
         if (hasEnded() || mAborted || attempt != mAttempt) {
             return;
         }
+        mAttempt++;
+        stopProgressTimer();
         if (mStream.isDone()) {
             resetTargetRequest();
             endStream();
             return;
         }
-        mAttempt++;
-        stopProgressTimer();
         if (mTargetRequest != null) {
             prompt().recordFailure(lease.target(), cause, mStream.events());
         }
--- a/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
+++ b/sesamepin-test/src/test/java/org/sesamepin/test/EngineStreamTest.java
@@ -4,6 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
@@ -21,6 +25,7 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.LoggerFactory;
 
 /** Compares the streams that an engine sends with those that callers of the product's API get. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -163,8 +168,17 @@
         mStream = "id: 1\ndata: a\n\n" + DONE;
         mContinuation = DONE;
         mBreaksOff = true;
+        ListAppender<ILoggingEvent> logged = new ListAppender<>();
+        logged.start();
+        Logger root = (Logger) LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.addAppender(logged);
         assertEquals(mStream, call());
         assertEquals(0, mResumptions.size());
+        TimeUnit.MILLISECONDS.sleep(200);
+        root.detachAppender(logged);
+        assertTrue(
+                logged.list.stream().noneMatch(event -> event.getLevel() == Level.ERROR),
+                logged.list::toString);
     }
 
     /** Guards against an event that a resumption repeats since it has no id. */
