Give each block of the stand-in's endless answer a turn of its event loop

It wrote blocks until the queue was full; on a connection that the node closes, writes end at once and need never fill it, so the loop did not end. The node had done its part.

Mended: one block a turn, until a write fails.

--- a/sesamepin-standin/src/main/java/org/sesamepin/standin/service/ServiceStandIn.java
+++ b/sesamepin-standin/src/main/java/org/sesamepin/standin/service/ServiceStandIn.java
@@ -106,11 +106,13 @@
         }
     }
 
-    private static void sendWithoutEnd(HttpServerResponse response) {
-        while (!response.closed() && !response.writeQueueFull()) {
-            response.write(ENDLESS_BLOCK);
-        }
-        response.drainHandler(v -> sendWithoutEnd(response));
+    /**
+     * Sends blocks until a write fails. Each one has a turn of the event loop of its own: on a
+     * connection that the caller closes, writes need not fill the queue, so a loop may not end.
+     */
+    private void sendWithoutEnd(HttpServerResponse response) {
+        response.write(ENDLESS_BLOCK)
+                .onSuccess(v -> mVertx.runOnContext(turn -> sendWithoutEnd(response)));
     }
 
     private synchronized String consumeFault() {
